--- a/src/main/java/aldervalve/Logic.java
+++ b/src/main/java/calicostream/Logic.java
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-package aldervalve;
+package calicostream;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
--- a/src/main/java/aldervalve/drill/Codes.java
+++ b/src/main/java/calicostream/adapter/Codes.java
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
-package aldervalve.drill;
+package calicostream.adapter;
 
-import aldervalve.QueryRouter.Outcome;
+import calicostream.QueryRouter.Outcome;
 import java.util.Map;
 import java.util.Set;
 
--- a/src/main/java/aldervalve/drill/Frame.java
+++ b/src/main/java/calicostream/adapter/Frame.java
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-package aldervalve.drill;
+package calicostream.adapter;
 
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
--- a/src/main/java/aldervalve/drill/Instance.java
+++ b/src/main/java/calicostream/adapter/Instance.java
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
-package aldervalve.drill;
+package calicostream.adapter;
 
-import aldervalve.Logic;
-import aldervalve.QueryRouter;
+import calicostream.Logic;
+import calicostream.QueryRouter;
 import java.util.List;
 
 /** One gateway's decision instance, and its actions written to the wire. */
--- a/src/main/java/aldervalve/drill/Main.java
+++ b/src/main/java/calicostream/adapter/Main.java
@@ -1,12 +1,12 @@
 // SPDX-License-Identifier: Apache-2.0
-package aldervalve.drill;
+package calicostream.adapter;
 
-import aldervalve.QueryRouter.Report;
-import aldervalve.QueryRouter.Engine;
-import aldervalve.QueryRouter.EngineState;
-import aldervalve.QueryRouter.Notice;
-import aldervalve.QueryRouter.Outcome;
-import aldervalve.QueryRouter.RosterKind;
+import calicostream.QueryRouter.Report;
+import calicostream.QueryRouter.Engine;
+import calicostream.QueryRouter.EngineState;
+import calicostream.QueryRouter.Notice;
+import calicostream.QueryRouter.Outcome;
+import calicostream.QueryRouter.RosterKind;
 import java.io.BufferedInputStream;
 import java.io.BufferedOutputStream;
 import java.io.DataInputStream;
@@ -29,8 +29,8 @@
     private final Frame.Reply reply = new Frame.Reply();
 
     public static void main(String[] args) throws IOException {
-        if (args.length != 1 || !args[0].equals("drill")) {
-            System.err.println("usage: java -jar aldervalve.jar drill");
+        if (args.length != 1 || !args[0].equals("adapter")) {
+            System.err.println("usage: java -jar calicostream.jar adapter");
             System.exit(2);
         }
         System.exit(run(System.in, System.out, System.err));
@@ -51,7 +51,7 @@
             }
             return 0;
         } catch (WireException e) {
-            errors.println("aldervalve: " + e.getMessage());
+            errors.println("calicostream: " + e.getMessage());
             return 1;
         }
     }
@@ -107,7 +107,7 @@
                 boolean onLoad = notice == Notice.WAITS_FOR_MEMORY && amount >= 2;
                 Notice kind = onLoad ? Notice.WAITS_FOR_LOAD : notice;
                 return () -> to.router.progress(now,
-                        new aldervalve.QueryRouter.Progress(id, attempt, kind, amount));
+                        new calicostream.QueryRouter.Progress(id, attempt, kind, amount));
             }
             case Codes.RESULT: return result(in, to);
             case Codes.DROPPED: {
@@ -175,7 +175,7 @@
         int group = (int) in.f32();
         int bits = in.u16();
         double valid = (bits & 1) != 0 ? cost : 0;
-        return () -> to.router.query(in.clock, new aldervalve.QueryRouter.Query(id, queryClass, tenant, key,
+        return () -> to.router.query(in.clock, new calicostream.QueryRouter.Query(id, queryClass, tenant, key,
                 left, valid, memory, group, (bits & 2) != 0));
     }
 
@@ -191,7 +191,7 @@
         boolean told = to.tellsCost && outcome == Outcome.OK;
         double work = told ? Math.floor(note / MS_SHIFT) : 0;
         double memory = told ? note % MS_SHIFT * MEMORY_UNIT_MB : 0;
-        return () -> to.router.ended(in.clock, new aldervalve.QueryRouter.AttemptEnd(id, attempt, engine,
+        return () -> to.router.ended(in.clock, new calicostream.QueryRouter.AttemptEnd(id, attempt, engine,
                 outcome, over, elapsed, work, memory, report));
     }
 
--- a/src/main/java/aldervalve/drill/SettingsParser.java
+++ b/src/main/java/calicostream/adapter/SettingsParser.java
@@ -1,16 +1,16 @@
 // SPDX-License-Identifier: Apache-2.0
-package aldervalve.drill;
-
-import aldervalve.QueryRouter.Effect;
-import aldervalve.QueryRouter.EngineTraits;
-import aldervalve.QueryRouter.Kind;
-import aldervalve.QueryRouter.Limits;
-import aldervalve.QueryRouter.QueryClass;
-import aldervalve.QueryRouter.Reporting;
-import aldervalve.QueryRouter.Rules;
-import aldervalve.QueryRouter.Scope;
-import aldervalve.QueryRouter.Settings;
-import aldervalve.QueryRouter.Tenant;
+package calicostream.adapter;
+
+import calicostream.QueryRouter.Effect;
+import calicostream.QueryRouter.EngineTraits;
+import calicostream.QueryRouter.Kind;
+import calicostream.QueryRouter.Limits;
+import calicostream.QueryRouter.QueryClass;
+import calicostream.QueryRouter.Reporting;
+import calicostream.QueryRouter.Rules;
+import calicostream.QueryRouter.Scope;
+import calicostream.QueryRouter.Settings;
+import calicostream.QueryRouter.Tenant;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
--- a/src/main/java/aldervalve/drill/WireException.java
+++ b/src/main/java/calicostream/adapter/WireException.java
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-package aldervalve.drill;
+package calicostream.adapter;
 
 /** Input that is not the wire; its message is shown to the operator as it is. */
 final class WireException extends RuntimeException {
--- a/src/test/java/aldervalve/BehaviourTest.java
+++ b/src/test/java/calicostream/BehaviourTest.java
@@ -1,25 +1,25 @@
 // SPDX-License-Identifier: Apache-2.0
-package aldervalve;
+package calicostream;
 
-import static aldervalve.Recorder.MS;
-import static aldervalve.Recorder.S;
-import static aldervalve.Recorder.engine;
-import static aldervalve.Recorder.look;
-import static aldervalve.Recorder.queryClass;
+import static calicostream.Recorder.MS;
+import static calicostream.Recorder.S;
+import static calicostream.Recorder.engine;
+import static calicostream.Recorder.look;
+import static calicostream.Recorder.queryClass;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import aldervalve.QueryRouter.Effect;
-import aldervalve.QueryRouter.EngineState;
-import aldervalve.QueryRouter.Notice;
-import aldervalve.QueryRouter.Outcome;
-import aldervalve.QueryRouter.Progress;
-import aldervalve.QueryRouter.QueryClass;
-import aldervalve.QueryRouter.RosterKind;
-import aldervalve.QueryRouter.Scope;
-import aldervalve.QueryRouter.Tenant;
+import calicostream.QueryRouter.Effect;
+import calicostream.QueryRouter.EngineState;
+import calicostream.QueryRouter.Notice;
+import calicostream.QueryRouter.Outcome;
+import calicostream.QueryRouter.Progress;
+import calicostream.QueryRouter.QueryClass;
+import calicostream.QueryRouter.RosterKind;
+import calicostream.QueryRouter.Scope;
+import calicostream.QueryRouter.Tenant;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
--- a/src/test/java/aldervalve/EmbeddingTest.java
+++ b/src/test/java/calicostream/EmbeddingTest.java
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-package aldervalve;
+package calicostream;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
--- a/src/test/java/aldervalve/ModuleShapeTest.java
+++ b/src/test/java/calicostream/ModuleShapeTest.java
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-package aldervalve;
+package calicostream;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -11,7 +11,7 @@
 
 /** Night duty reads the module in one sitting. */
 class ModuleShapeTest {
-    private static final List<String> LINES = read(Path.of("src/main/java/aldervalve/Logic.java"));
+    private static final List<String> LINES = read(Path.of("src/main/java/calicostream/Logic.java"));
 
     private static List<String> read(Path path) {
         try {
--- a/src/test/java/aldervalve/Recorder.java
+++ b/src/test/java/calicostream/Recorder.java
@@ -1,23 +1,23 @@
 // SPDX-License-Identifier: Apache-2.0
-package aldervalve;
-
-import aldervalve.QueryRouter.AttemptEnd;
-import aldervalve.QueryRouter.Effect;
-import aldervalve.QueryRouter.Engine;
-import aldervalve.QueryRouter.EngineState;
-import aldervalve.QueryRouter.EngineTraits;
-import aldervalve.QueryRouter.Kind;
-import aldervalve.QueryRouter.Limits;
-import aldervalve.QueryRouter.Outcome;
-import aldervalve.QueryRouter.Query;
-import aldervalve.QueryRouter.QueryClass;
-import aldervalve.QueryRouter.Report;
-import aldervalve.QueryRouter.Reporting;
-import aldervalve.QueryRouter.RosterKind;
-import aldervalve.QueryRouter.Rules;
-import aldervalve.QueryRouter.Scope;
-import aldervalve.QueryRouter.Settings;
-import aldervalve.QueryRouter.Tenant;
+package calicostream;
+
+import calicostream.QueryRouter.AttemptEnd;
+import calicostream.QueryRouter.Effect;
+import calicostream.QueryRouter.Engine;
+import calicostream.QueryRouter.EngineState;
+import calicostream.QueryRouter.EngineTraits;
+import calicostream.QueryRouter.Kind;
+import calicostream.QueryRouter.Limits;
+import calicostream.QueryRouter.Outcome;
+import calicostream.QueryRouter.Query;
+import calicostream.QueryRouter.QueryClass;
+import calicostream.QueryRouter.Report;
+import calicostream.QueryRouter.Reporting;
+import calicostream.QueryRouter.RosterKind;
+import calicostream.QueryRouter.Rules;
+import calicostream.QueryRouter.Scope;
+import calicostream.QueryRouter.Settings;
+import calicostream.QueryRouter.Tenant;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/src/test/java/aldervalve/drill/WireTest.java
+++ b/src/test/java/calicostream/adapter/WireTest.java
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-package aldervalve.drill;
+package calicostream.adapter;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -7,9 +7,9 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import aldervalve.QueryRouter.Effect;
-import aldervalve.QueryRouter.Reporting;
-import aldervalve.QueryRouter.Settings;
+import calicostream.QueryRouter.Effect;
+import calicostream.QueryRouter.Reporting;
+import calicostream.QueryRouter.Settings;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
@@ -172,7 +172,7 @@
             Ran ran = run(bad);
             assertEquals(1, ran.code);
             assertEquals(1, ran.errors.strip().lines().count(), ran.errors);
-            assertTrue(ran.errors.startsWith("aldervalve: "));
+            assertTrue(ran.errors.startsWith("calicostream: "));
         }
     }
 
