Serve the platform's protocol on real sockets round the decision module

New: core (Gateway, slot tables, one heap of deadlines), net (selector loop, connections with a bounded ring a direction), platform (JSON-RPC clients, RESP engines, SSE change log, statement scanner), Main with serve and adapter. SettingsParser moved out of the adapter: it reads the simulator's lines and the configuration's nested JSON into the same names, so there is one decoder.

--- /dev/null
+++ b/src/main/java/calicostream/Main.java
@@ -0,0 +1,46 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream;
+
+import calicostream.adapter.Adapter;
+import calicostream.platform.Node;
+import calicostream.platform.NodeConfig;
+import java.io.IOException;
+import java.nio.file.Path;
+
+/** The program: a front end on sockets, or the simulator's adapter. */
+public final class Main {
+    private static final int UNUSABLE = 2;
+
+    private Main() { }
+
+    public static void main(String[] args) throws IOException {
+        String mode = args.length == 1 ? args[0] : "";
+        switch (mode) {
+            case "adapter":
+                System.exit(Adapter.run(System.in, System.out, System.err));
+                break;
+            case "serve":
+                serve();
+                break;
+            default:
+                System.err.println("usage: java -jar calicostream.jar serve|adapter");
+                System.exit(UNUSABLE);
+        }
+    }
+
+    private static void serve() throws IOException {
+        try {
+            String path = System.getenv("NODE_CONFIG");
+            if (path == null) {
+                throw new SettingsException("bad configuration: NODE_CONFIG is not set");
+            }
+            new Node(NodeConfig.read(Path.of(path))).run();
+        } catch (SettingsException e) {
+            System.err.println("calicostream: " + e.getMessage());
+            System.exit(UNUSABLE);
+        } catch (java.net.BindException e) {
+            System.err.println("calicostream: can't listen: " + e.getMessage());
+            System.exit(UNUSABLE);
+        }
+    }
+}
--- a/src/main/java/calicostream/QueryRouter.java
+++ b/src/main/java/calicostream/QueryRouter.java
@@ -122,7 +122,19 @@
             double workMs, double memoryMb, Report report) { }
 
     /** A load report; a value that the engine does not tell is NaN. */
-    record Report(double running, double utilization) { }
+    record Report(double running, double utilization) {
+        /** A report that tells nothing yet. */
+        public static final Report NOTHING = new Report(Double.NaN, Double.NaN);
+
+        /** This report with a column of the engine's load report set; columns of no use here are passed over. */
+        public Report with(String column, double value) {
+            switch (column) {
+                case "inflight": return new Report(value, utilization);
+                case "util": return new Report(running, value);
+                default: return this;
+            }
+        }
+    }
 
     /**
      * Start-up settings of a deployment. {@code index} is this gateway's number among {@code gateways}, from 0;
--- a/src/main/java/calicostream/adapter/SettingsParser.java
+++ b/src/main/java/calicostream/SettingsParser.java
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-package calicostream.adapter;
+package calicostream;
 
 import calicostream.QueryRouter.Effect;
 import calicostream.QueryRouter.EngineTraits;
@@ -11,39 +11,85 @@
 import calicostream.QueryRouter.Scope;
 import calicostream.QueryRouter.Settings;
 import calicostream.QueryRouter.Tenant;
+import com.eclipsesource.json.JsonArray;
+import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.JsonValue;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
-/** Reads the start-up settings, {@code path=value} a line; keys it does not know are skipped. */
-final class SettingsParser {
+/**
+ * Reads the start-up settings, {@code path=value} a line on the simulator's wire and nested JSON in a
+ * front end's configuration, into the one {@link Settings} type; keys it does not know are skipped.
+ */
+public final class SettingsParser {
     private static final int MOST_ITEMS = 65536;
-    private final Map<String, String> values = new HashMap<>();
+    private final Map<String, String> values;
     private final List<String> columns;
 
-    SettingsParser(String text) {
+    private SettingsParser(Map<String, String> values) {
+        this.values = values;
+        columns = list("stats.columns");
+    }
+
+    public static SettingsParser ofLines(String text) {
+        Map<String, String> values = new HashMap<>();
         for (String line : text.split("\n")) {
             int at = line.indexOf('=');
             if (at > 0) {
                 values.put(line.substring(0, at).trim(), line.substring(at + 1).trim());
             } else if (!line.isBlank()) {
-                throw new WireException("bad setting: no '=' in '" + line.trim() + "'");
+                throw new SettingsException("bad setting: no '=' in '" + line.trim() + "'");
             }
         }
-        columns = list("stats.columns");
+        return new SettingsParser(values);
     }
 
-    List<String> columns() {
+    public static SettingsParser ofJson(JsonObject settings) {
+        Map<String, String> values = new HashMap<>();
+        flatten("", settings, values);
+        return new SettingsParser(values);
+    }
+
+    /** Nested JSON under the names of the flat form: {@code a.b}, {@code a.count}, {@code a.0.b}, lists by commas. */
+    private static void flatten(String path, JsonValue value, Map<String, String> into) {
+        if (value.isObject()) {
+            String prefix = path.isEmpty() ? "" : path + ".";
+            value.asObject().forEach(member -> flatten(prefix + member.getName(), member.getValue(), into));
+        } else if (value.isArray()) {
+            JsonArray items = value.asArray();
+            boolean nested = !items.isEmpty() && (items.get(0).isObject() || items.get(0).isArray());
+            if (nested) {
+                into.put(path + ".count", Integer.toString(items.size()));
+                for (int i = 0; i < items.size(); i++) {
+                    flatten(path + "." + i, items.get(i), into);
+                }
+            } else {
+                List<String> plain = new ArrayList<>();
+                items.forEach(item -> plain.add(plain(item)));
+                into.put(path, String.join(",", plain));
+            }
+        } else {
+            into.put(path, plain(value));
+        }
+    }
+
+    private static String plain(JsonValue value) {
+        String text = value.isString() ? value.asString() : value.toString();
+        return value.isNull() ? "" : text.replace(' ', '_').replace(',', '_');
+    }
+
+    public List<String> columns() {
         return columns;
     }
 
-    boolean tellsCost() {
+    public boolean tellsCost() {
         return flag("family_info.tells_cost", false);
     }
 
-    Settings settings() {
+    public Settings settings() {
         Limits limits = new Limits(flag("ceilings.may_probe", false), flag("ceilings.cancel", false),
                 (int) whole("ceilings.max_attempts", 1));
         Rules rules = new Rules(number("rules.cold_share", 1), number("rules.overload_factor", 1),
@@ -124,6 +170,33 @@
         }
     }
 
+    /** Names of the classes, halls and machine kinds, in the order of their indexes. */
+    public List<String> classNames() {
+        List<String> out = new ArrayList<>();
+        for (int i = 0; i < count("lanes.count"); i++) {
+            out.add(word("lanes." + i + ".name", Integer.toString(i)));
+        }
+        return out;
+    }
+
+    public List<String> zoneNames() {
+        return list("zones");
+    }
+
+    public List<String> kindNames() {
+        return list("flavors");
+    }
+
+    /** What the sockets are held to; no part of the decisions. */
+    public Wiring wiring() {
+        return new Wiring(whole("ceilings.dial_timeout_us", 250_000), whole("ceilings.conn_idle_us", 30_000_000),
+                (int) whole("ceilings.streams_per_conn", 32), whole("ceilings.max_retry_after_us", 2_000_000),
+                whole("family_info.note_period_us", 0));
+    }
+
+    /** Limits of the connections to engines and of what clients heed. */
+    public record Wiring(long dialTimeoutUs, long idleUs, int streams, long longestRetryUs, long noteUs) { }
+
     private String word(String key, String without) {
         return values.getOrDefault(key, without);
     }
@@ -182,7 +255,7 @@
         return out;
     }
 
-    private WireException bad(String key) {
-        return new WireException("bad setting: " + key + "=" + values.get(key));
+    private SettingsException bad(String key) {
+        return new SettingsException("bad setting: " + key + "=" + values.get(key));
     }
 }
--- a/src/main/java/calicostream/adapter/Main.java
+++ b/src/main/java/calicostream/adapter/Adapter.java
@@ -7,6 +7,8 @@
 import calicostream.QueryRouter.Notice;
 import calicostream.QueryRouter.Outcome;
 import calicostream.QueryRouter.RosterKind;
+import calicostream.SettingsException;
+import calicostream.SettingsParser;
 import java.io.BufferedInputStream;
 import java.io.BufferedOutputStream;
 import java.io.DataInputStream;
@@ -20,7 +22,7 @@
 import java.util.Map;
 
 /** Hosts one decision instance for each gateway and speaks the simulator's wire. */
-public final class Main {
+public final class Adapter {
     private static final int BUFFER = 1 << 16;
     private static final double MS_SHIFT = 4096;
     private static final double MEMORY_UNIT_MB = 4;
@@ -28,29 +30,21 @@
     private final Map<Integer, List<Engine>> lists = new HashMap<>();
     private final Frame.Reply reply = new Frame.Reply();
 
-    public static void main(String[] args) throws IOException {
-        if (args.length != 1 || !args[0].equals("adapter")) {
-            System.err.println("usage: java -jar calicostream.jar adapter");
-            System.exit(2);
-        }
-        System.exit(run(System.in, System.out, System.err));
-    }
-
     /** Serves until the input ends; the exit code. */
-    static int run(InputStream input, OutputStream output, PrintStream errors) throws IOException {
+    public static int run(InputStream input, OutputStream output, PrintStream errors) throws IOException {
         DataInputStream in = new DataInputStream(new BufferedInputStream(input, BUFFER));
         OutputStream out = new BufferedOutputStream(output, BUFFER);
-        Main main = new Main();
+        Adapter adapter = new Adapter();
         try {
             for (Frame.Batch batch = Frame.read(in); batch != null; batch = Frame.read(in)) {
                 for (long i = 0; i < batch.records; i++) {
-                    main.event(batch);
+                    adapter.event(batch);
                 }
                 batch.end();
-                main.reply.send(out);
+                adapter.reply.send(out);
             }
             return 0;
-        } catch (WireException e) {
+        } catch (WireException | SettingsException e) {
             errors.println("calicostream: " + e.getMessage());
             return 1;
         }
@@ -68,7 +62,7 @@
         long number = in.u32();
         if (code == Codes.UP) {
             in.u64();
-            SettingsParser parser = new SettingsParser(in.text(in.u32()));
+            SettingsParser parser = SettingsParser.ofLines(in.text(in.u32()));
             Instance fresh = new Instance(number, parser, reply);
             instances.put(number, fresh);
             fresh.guard(() -> fresh.router.start(in.clock));
@@ -197,18 +191,12 @@
 
     private static Report report(Frame.Batch in, Instance to) {
         int count = in.u8();
-        double running = Double.NaN;
-        double utilization = Double.NaN;
+        Report report = count == 0 ? null : Report.NOTHING;
         for (int i = 0; i < count; i++) {
             double value = in.f32();
-            String name = i < to.columns.size() ? to.columns.get(i) : "";
-            if (name.equals("inflight")) {
-                running = value;
-            } else if (name.equals("util")) {
-                utilization = value;
-            }
+            report = i < to.columns.size() ? report.with(to.columns.get(i), value) : report;
         }
-        return count == 0 ? null : new Report(running, utilization);
+        return report;
     }
 
     private static EngineState state(int code) {
--- a/src/main/java/calicostream/adapter/Instance.java
+++ b/src/main/java/calicostream/adapter/Instance.java
@@ -3,6 +3,7 @@
 
 import calicostream.Logic;
 import calicostream.QueryRouter;
+import calicostream.SettingsParser;
 import java.util.List;
 
 /** One gateway's decision instance, and its actions written to the wire. */
--- /dev/null
+++ b/src/main/java/calicostream/core/Engines.java
@@ -0,0 +1,20 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.core;
+
+/**
+ * The way to the engines. Calls take effect at once or later; what becomes of an attempt is told by
+ * {@link Gateway#ended}, once, unless {@link #stop} came first.
+ */
+public interface Engines {
+    /** Starts an attempt; nothing of it may go out after a {@link #withdrawn} for its engine. */
+    void send(Gateway.Attempt attempt);
+
+    /** Gives the attempt up; nothing more need be told of it. */
+    void stop(Gateway.Attempt attempt);
+
+    /** A new priority for an attempt that is out. */
+    void priority(Gateway.Attempt attempt);
+
+    /** The engine drains or is gone: what has not gone out to it must not. */
+    void withdrawn(long engine);
+}
--- /dev/null
+++ b/src/main/java/calicostream/core/Gateway.java
@@ -0,0 +1,363 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.core;
+
+import calicostream.Logic;
+import calicostream.QueryRouter;
+import calicostream.core.Front.Failure;
+import calicostream.core.Watcher.Ending;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Requests, attempts and outcomes between fronts and engines, whatever wires these speak. One thread calls
+ * it. It carries out what the decision module asks and holds the promises that no front or engine side may
+ * break: one final answer a request, one end an attempt, never two attempts at once, and no second send or
+ * refusal of a query that must not run twice once it may have run.
+ */
+public final class Gateway implements QueryRouter.Actions {
+    private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
+
+    /** A request in hand. */
+    public static final class Request {
+        final Front front;
+        final long tag;
+        final QueryRouter.QueryClass spec;
+        final long takenAt;
+        public final String id;
+        public final int queryClass;
+        public final byte[] body;
+        public final long deadline;
+        long handle;
+        int attempts;
+        boolean answered, mayHaveRun;
+        Attempt out;
+        int priority = 1;
+
+        private Request(Front front, long tag, String id, int queryClass, QueryRouter.QueryClass spec, byte[] body,
+                long takenAt, long deadline) {
+            this.front = front;
+            this.tag = tag;
+            this.id = id;
+            this.queryClass = queryClass;
+            this.spec = spec;
+            this.body = body;
+            this.takenAt = takenAt;
+            this.deadline = deadline;
+        }
+
+        public int priority() {
+            return priority;
+        }
+    }
+
+    /** One send of a request. {@code link} belongs to the engine side. */
+    public static final class Attempt {
+        public final Request request;
+        public final int number;
+        public final long engine;
+        public final long sentAt;
+        public final long giveUpAt;
+        public Object link;
+        long handle;
+
+        private Attempt(Request request, int number, long engine, long sentAt, long giveUpAt) {
+            this.request = request;
+            this.number = number;
+            this.engine = engine;
+            this.sentAt = sentAt;
+            this.giveUpAt = giveUpAt;
+        }
+
+        public long handle() {
+            return handle;
+        }
+    }
+
+    private record End(Attempt attempt, QueryRouter.Outcome outcome, QueryRouter.Report report, byte[] result) { }
+
+    private final Clock clock;
+    private final Deadlines deadlines;
+    private final QueryRouter.Settings settings;
+    private final QueryRouter router;
+    private final Watcher watcher;
+    private final Slots<Request> requests = new Slots<>();
+    private final Slots<Attempt> attempts = new Slots<>();
+    private final Map<Long, QueryRouter.Engine> roster = new HashMap<>();
+    private final ArrayDeque<End> ends = new ArrayDeque<>();
+    private final Deadlines.Target moduleTimer = (now, token) -> tell(r -> r.timer(now, token));
+    private final Deadlines.Target attemptDue = this::attemptDue;
+    private final Deadlines.Target requestDue = this::requestDue;
+    private Engines engines;
+    private boolean inModule, settling;
+    private long faults;
+
+    public Gateway(Clock clock, Deadlines deadlines, QueryRouter.Settings settings, Watcher watcher) {
+        this.clock = clock;
+        this.deadlines = deadlines;
+        this.settings = settings;
+        this.watcher = watcher;
+        router = new Logic(settings, this);
+    }
+
+    /** Starts the module with the engines last known. */
+    public void start(Engines side, List<QueryRouter.Engine> known) {
+        engines = side;
+        tell(r -> r.start(clock.now()));
+        roster(QueryRouter.RosterKind.CACHED, known);
+    }
+
+    // ---- From the fronts ------------------------------------------------------------------------------
+    /** Takes a request; its answer goes to the front under this tag, maybe before this returns. */
+    public long accept(Front front, long tag, String id, int queryClass, int tableGroup, long budgetUs, byte[] body) {
+        long now = clock.now();
+        Request request = new Request(front, tag, id, queryClass, settings.classes().get(queryClass), body, now,
+                now + budgetUs);
+        request.handle = requests.add(request);
+        deadlines.add(request.deadline, requestDue, request.handle);
+        tell(r -> r.query(now, new QueryRouter.Query(request.handle, queryClass, 0, 0, budgetUs, 0, 0, tableGroup,
+                false)));
+        return request.handle;
+    }
+
+    /** The client has left or takes no answer any more: nothing is owed, and what is out is called off. */
+    public void abandon(long handle) {
+        Request request = requests.get(handle);
+        if (request != null) {
+            tell(r -> {
+                close(request, Ending.ABANDONED);
+                r.abandoned(clock.now(), handle);
+            });
+        }
+    }
+
+    /** Requests that still wait for their final answer. */
+    public int open() {
+        return requests.size();
+    }
+
+    // ---- From the engine side -------------------------------------------------------------------------
+    /** An attempt ended. Late word on one that had ended already is ignored. */
+    public void ended(Attempt attempt, QueryRouter.Outcome outcome, QueryRouter.Report report, byte[] result) {
+        if (attempts.remove(attempt.handle) != null) {
+            ends.add(new End(attempt, outcome, report, result));
+            settle();
+        }
+    }
+
+    /** News of an attempt that still runs. */
+    public void progress(Attempt attempt, QueryRouter.Notice notice, double amount) {
+        if (attempts.get(attempt.handle) != null) {
+            tell(r -> r.progress(clock.now(),
+                    new QueryRouter.Progress(attempt.request.handle, attempt.number, notice, amount)));
+        }
+    }
+
+    /** News of the list of engines. What has not yet gone out to an engine that drains is taken back first. */
+    public void roster(QueryRouter.RosterKind kind, List<QueryRouter.Engine> list) {
+        if (kind != QueryRouter.RosterKind.CHANGES) {
+            Map<Long, QueryRouter.Engine> old = new HashMap<>(roster);
+            list.forEach(e -> old.remove(e.id()));
+            old.values().forEach(e -> list(e.in(QueryRouter.EngineState.GONE)));
+        }
+        list.forEach(this::list);
+        tell(r -> r.roster(clock.now(), kind, list));
+    }
+
+    private void list(QueryRouter.Engine engine) {
+        QueryRouter.Engine old = engine.state() == QueryRouter.EngineState.GONE ? roster.remove(engine.id())
+                : roster.put(engine.id(), engine);
+        if (!engine.equals(old)) {
+            watcher.engine(engine);
+        }
+        if (engine.state() != QueryRouter.EngineState.READY) {
+            engines.withdrawn(engine.id());
+        }
+    }
+
+    // ---- The module's actions -------------------------------------------------------------------------
+    @Override
+    public void send(long query, long engine, long giveUpAt) {
+        long now = clock.now();
+        Request request = requests.get(query);
+        if (request == null) {
+            LOG.error("send for a request that is over");
+            return;
+        }
+        long until = giveUpAt > 0 ? Math.min(giveUpAt, request.deadline) : request.deadline;
+        Attempt attempt = new Attempt(request, request.attempts, engine, now, until);
+        QueryRouter.Engine listed = roster.get(engine);
+        boolean ready = listed != null && listed.state() == QueryRouter.EngineState.READY;
+        boolean again = request.spec.effect() == QueryRouter.Effect.ONCE && request.mayHaveRun;
+        attempt.handle = attempts.add(attempt);
+        request.attempts++;
+        // Neither a second attempt beside one that is out, nor a second run, whatever the module asks.
+        if (request.answered || request.out != null || again || now >= until
+                || request.attempts > settings.limits().maxAttempts()) {
+            ended(attempt, QueryRouter.Outcome.MOOT, null, null);
+            return;
+        }
+        if (!ready) {
+            ended(attempt, QueryRouter.Outcome.CONNECT_FAILED, null, null);
+            return;
+        }
+        request.out = attempt;
+        deadlines.add(until, attemptDue, attempt.handle);
+        engines.send(attempt);
+    }
+
+    @Override
+    public void cancel(long query, int number) {
+        Request request = requests.get(query);
+        if (request != null && request.out != null && request.out.number == number) {
+            giveUp(request.out, QueryRouter.Outcome.CANCELLED);
+        }
+    }
+
+    @Override
+    public void refuse(long query, long retryAfterUs) {
+        Request request = requests.get(query);
+        if (request == null || request.answered) {
+            return;
+        }
+        boolean harmless = request.spec.effect() != QueryRouter.Effect.ONCE
+                || !request.mayHaveRun && request.out == null;
+        if (harmless) {
+            close(request, Ending.REFUSED);
+            request.front.refused(request.tag, retryAfterUs / 1000);
+        } else { // "Trying again is harmless" would be untrue: say no more than that it failed.
+            fail(query);
+        }
+    }
+
+    @Override
+    public void fail(long query) {
+        Request request = requests.get(query);
+        if (request != null && !request.answered) {
+            long slack = 4 * settings.tickUs(); // The module ends a query a little before its deadline.
+            boolean late = clock.now() + slack >= request.deadline;
+            close(request, Ending.FAILED);
+            request.front.failed(request.tag, late ? Failure.DEADLINE : Failure.ENGINE);
+        }
+    }
+
+    @Override
+    public void terms(long query, double memoryMb, int priority) {
+        Request request = requests.get(query);
+        if (request != null && request.priority != priority) {
+            request.priority = priority;
+            if (request.out != null) {
+                engines.priority(request.out);
+            }
+        }
+    }
+
+    @Override
+    public void timer(long delayUs, long token) {
+        deadlines.add(clock.now() + delayUs, moduleTimer, token);
+    }
+
+    @Override
+    public void probe(long engine) {
+        LOG.warn("the module asked for a probe, which this deployment has not");
+    }
+
+    @Override
+    public void subscribeRoster() {
+        // Changes come by themselves: the list of engines is followed from the start.
+    }
+
+    @Override
+    public void log(String text) {
+        LOG.info("{}", text);
+    }
+
+    // ---- Endings ---------------------------------------------------------------------------------------
+    /** Marks the one final answer; the slot lives on while an attempt is out, so that its end finds it. */
+    private void close(Request request, Ending ending) {
+        request.answered = true;
+        watcher.answered(request.id, request.queryClass, ending, request.attempts, clock.now() - request.takenAt);
+        requests.remove(request.handle);
+        if (request.out != null) {
+            giveUp(request.out, QueryRouter.Outcome.CANCELLED);
+        }
+    }
+
+    private void giveUp(Attempt attempt, QueryRouter.Outcome outcome) {
+        if (attempts.get(attempt.handle) != null) {
+            engines.stop(attempt);
+            ended(attempt, outcome, null, null);
+        }
+    }
+
+    private void attemptDue(long now, long handle) {
+        Attempt attempt = attempts.get(handle);
+        if (attempt != null) {
+            giveUp(attempt, QueryRouter.Outcome.TIMEOUT);
+        }
+    }
+
+    /** The last guard against a lost request: the module normally answers just before this. */
+    private void requestDue(long now, long handle) {
+        if (requests.get(handle) != null) {
+            tell(r -> {
+                fail(handle);
+                r.abandoned(now, handle);
+            });
+        }
+    }
+
+    /** Tells the module of ends in order; those that come while it acts wait, as it must not be re-entered. */
+    private void settle() {
+        if (inModule || settling) {
+            return;
+        }
+        settling = true;
+        try {
+            for (End end = ends.poll(); end != null; end = ends.poll()) {
+                settle(end);
+            }
+        } finally {
+            settling = false;
+        }
+    }
+
+    private void settle(End end) {
+        Attempt attempt = end.attempt;
+        Request request = attempt.request;
+        if (request.out == attempt) {
+            request.out = null;
+        }
+        request.mayHaveRun |= end.outcome.mayHaveRun;
+        boolean serves = end.outcome == QueryRouter.Outcome.OK && !request.answered;
+        long now = clock.now();
+        if (serves) {
+            close(request, Ending.SERVED);
+            request.front.served(request.tag, end.result);
+        }
+        tell(r -> r.ended(now, new QueryRouter.AttemptEnd(request.handle, attempt.number, attempt.engine,
+                end.outcome, request.answered, now - attempt.sentAt, 0, 0, end.report)));
+    }
+
+    private interface Event {
+        void to(QueryRouter router);
+    }
+
+    /** One event to the module. A fault in it costs that event; the deadline still answers the request. */
+    private void tell(Event event) {
+        inModule = true;
+        try {
+            event.to(router);
+        } catch (RuntimeException e) {
+            if (faults++ < 20) {
+                LOG.error("the decision module failed", e);
+            }
+        } finally {
+            inModule = false;
+        }
+        settle();
+    }
+}
--- /dev/null
+++ b/src/main/java/calicostream/net/Connection.java
@@ -0,0 +1,182 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+
+/** One TCP connection with a bounded ring a direction; its handler is told what happens on it. */
+public final class Connection implements Loop.Ready {
+    /** What a connection's owner is told. {@link #closed} comes once, also after {@link Connection#close}. */
+    public interface Handler {
+        default void connected(Connection connection) { }
+
+        /** New bytes are in the ring; take what is whole. */
+        void received(Connection connection);
+
+        /** The ring out has room again after it was too full for something. */
+        default void drained(Connection connection) { }
+
+        void closed(Connection connection);
+    }
+
+    private final Loop loop;
+    private final SocketChannel channel;
+    private final Handler handler;
+    private final Ring in;
+    private final Ring out;
+    private SelectionKey key;
+    private boolean connecting, closed, paused, flushing;
+    private boolean closeWhenFlushed;
+
+    private Connection(Loop loop, SocketChannel channel, Handler handler, int boundIn, int boundOut) {
+        this.loop = loop;
+        this.channel = channel;
+        this.handler = handler;
+        in = new Ring(boundIn);
+        out = new Ring(boundOut);
+    }
+
+    /** Takes over an accepted channel. */
+    public static Connection accepted(Loop loop, SocketChannel channel, Handler handler, int boundIn, int boundOut)
+            throws IOException {
+        Connection c = new Connection(loop, channel, handler, boundIn, boundOut);
+        c.key = loop.register(channel, SelectionKey.OP_READ, c);
+        return c;
+    }
+
+    /** Starts to connect; a failure, also one at once, is told as {@link Handler#closed}, never from in here. */
+    public static Connection to(Loop loop, InetSocketAddress address, Handler handler, int boundIn, int boundOut)
+            throws IOException {
+        Connection c = new Connection(loop, SocketChannel.open(), handler, boundIn, boundOut);
+        c.connecting = true;
+        try {
+            c.channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            c.channel.configureBlocking(false);
+            c.channel.connect(address);
+            c.key = loop.register(c.channel, SelectionKey.OP_CONNECT, c);
+        } catch (IOException e) {
+            loop.soon(c::close);
+        }
+        return c;
+    }
+
+    public Ring in() {
+        return in;
+    }
+
+    public boolean isConnected() {
+        return !connecting && !closed;
+    }
+
+    public boolean isClosed() {
+        return closed;
+    }
+
+    /** Queues bytes; false, and nothing is queued, where the ring has no room. */
+    public boolean write(byte[] bytes) {
+        if (closed || !out.put(bytes)) {
+            return false;
+        }
+        if (!connecting && !flushing) { // One write for all that is queued in this turn of the loop.
+            flushing = true;
+            loop.soon(this::flush);
+        }
+        return true;
+    }
+
+    /** Back-pressure: stops or resumes reading. */
+    public void pause(boolean on) {
+        if (paused != on) {
+            paused = on;
+            interest();
+            if (!on) {
+                loop.soon(() -> handle(in.size() > 0));
+            }
+        }
+    }
+
+    /** Sends what is queued, then closes; takes no more input. */
+    public void finish() {
+        closeWhenFlushed = true;
+        pause(true);
+        loop.soon(this::flush);
+    }
+
+    public void close() {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        try {
+            channel.close();
+        } catch (IOException e) {
+            // The descriptor is gone either way.
+        }
+        handler.closed(this);
+    }
+
+    @Override
+    public void ready() {
+        try {
+            if (connecting) {
+                if (channel.finishConnect()) {
+                    connecting = false;
+                    interest();
+                    handler.connected(this);
+                }
+                return;
+            }
+            if (key.isWritable()) {
+                flush();
+            }
+            if (!closed && key.isReadable()) {
+                int count = in.fill(channel);
+                handle(count > 0);
+                if (count < 0) {
+                    close();
+                }
+            }
+        } catch (IOException e) {
+            close();
+        }
+    }
+
+    private void handle(boolean any) {
+        if (any && !closed && !paused) {
+            handler.received(this);
+            interest();
+        }
+    }
+
+    private void flush() {
+        flushing = false;
+        if (closed) {
+            return;
+        }
+        try {
+            int before = out.size();
+            out.drain(channel);
+            interest();
+            if (out.size() == 0 && closeWhenFlushed) {
+                close();
+            } else if (out.size() < before) {
+                handler.drained(this);
+            }
+        } catch (IOException e) {
+            close();
+        }
+    }
+
+    private void interest() {
+        if (!closed && !connecting && key != null && key.isValid()) {
+            int wanted = (paused || in.room() == 0 ? 0 : SelectionKey.OP_READ)
+                    | (out.size() > 0 ? SelectionKey.OP_WRITE : 0);
+            if (key.interestOps() != wanted) {
+                key.interestOps(wanted);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/calicostream/net/Loop.java
@@ -0,0 +1,106 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.net;
+
+import calicostream.core.Clock;
+import calicostream.core.Deadlines;
+import java.io.IOException;
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.util.ArrayDeque;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The one thread that owns all state: sockets, deadlines, and what other threads hand over. */
+public final class Loop {
+    private static final Logger LOG = LoggerFactory.getLogger(Loop.class);
+
+    /** What a selection key's attachment does when its channel is ready. */
+    interface Ready {
+        void ready() throws IOException;
+    }
+
+    private final Clock clock;
+    private final Deadlines deadlines;
+    private final Selector selector;
+    private final ConcurrentLinkedQueue<Runnable> posted = new ConcurrentLinkedQueue<>();
+    private final ArrayDeque<Runnable> soon = new ArrayDeque<>();
+    private boolean stopped;
+
+    public Loop(Clock clock, Deadlines deadlines) throws IOException {
+        this.clock = clock;
+        this.deadlines = deadlines;
+        selector = Selector.open();
+    }
+
+    public Clock clock() {
+        return clock;
+    }
+
+    public Deadlines deadlines() {
+        return deadlines;
+    }
+
+    /** From any thread: runs on the loop's thread. */
+    public void post(Runnable work) {
+        posted.add(work);
+        selector.wakeup();
+    }
+
+    /** From the loop's thread: runs before the loop next waits, after what runs now has returned. */
+    public void soon(Runnable work) {
+        soon.add(work);
+    }
+
+    public void stop() {
+        stopped = true;
+    }
+
+    SelectionKey register(SelectableChannel channel, int interest, Ready ready) throws IOException {
+        channel.configureBlocking(false);
+        return channel.register(selector, interest, ready);
+    }
+
+    /** Serves until stopped. What one channel's bytes bring about never ends the loop. */
+    public void run() throws IOException {
+        while (!stopped) {
+            long wait = deadlines.next() - clock.now();
+            if (!posted.isEmpty() || wait <= 0) {
+                selector.selectNow();
+            } else {
+                selector.select(wait == Deadlines.NEVER ? 0 : Math.max(1, Math.min(wait / 1000, 1000)));
+            }
+            for (SelectionKey key : selector.selectedKeys()) {
+                if (key.isValid()) {
+                    guarded(() -> ready(key));
+                }
+            }
+            selector.selectedKeys().clear();
+            for (Runnable work = posted.poll(); work != null; work = posted.poll()) {
+                guarded(work);
+            }
+            guarded(() -> deadlines.run(clock.now()));
+            for (Runnable work = soon.poll(); work != null; work = soon.poll()) {
+                guarded(work);
+            }
+        }
+        selector.close();
+    }
+
+    private static void ready(SelectionKey key) {
+        try {
+            ((Ready) key.attachment()).ready();
+        } catch (IOException e) {
+            LOG.warn("channel: {}", e.toString());
+        }
+    }
+
+    private static void guarded(Runnable work) {
+        try {
+            work.run();
+        } catch (RuntimeException e) {
+            LOG.error("unexpected", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/calicostream/platform/Fields.java
@@ -0,0 +1,59 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.platform;
+
+import calicostream.QueryRouter.Report;
+import calicostream.net.BadInput;
+import java.util.HashMap;
+import java.util.Map;
+
+/** The field lists of engines' answers: {@code name=value,name=value}, or {@code -} for none. */
+final class Fields {
+    private Fields() { }
+
+    static Map<String, String> parse(String text) throws BadInput {
+        if (text.equals("-") || text.isEmpty()) {
+            return Map.of();
+        }
+        Map<String, String> out = new HashMap<>();
+        for (String field : text.split(",")) {
+            int at = field.indexOf('=');
+            if (at < 1) {
+                throw new BadInput("a field without a name");
+            }
+            out.put(field.substring(0, at), field.substring(at + 1));
+        }
+        return out;
+    }
+
+    /** A load report, {@code name:value;name:value}; null where there is none. */
+    static Report report(String text) {
+        if (text == null) {
+            return null;
+        }
+        Report out = Report.NOTHING;
+        for (String pair : text.split(";")) {
+            int at = pair.indexOf(':');
+            double value = number(at < 0 ? null : pair.substring(at + 1));
+            out = Double.isNaN(value) ? out : out.with(pair.substring(0, at), value);
+        }
+        return out;
+    }
+
+    /** A number, or NaN. */
+    static double number(String text) {
+        try {
+            return text == null ? Double.NaN : Double.parseDouble(text);
+        } catch (NumberFormatException e) {
+            return Double.NaN;
+        }
+    }
+
+    static int whole(Map<String, String> fields, String name, int without, int most) throws BadInput {
+        String text = fields.get(name);
+        double value = text == null ? without : number(text);
+        if (!(value <= most) || value != Math.rint(value)) {
+            throw new BadInput("the field " + name + " can't be used");
+        }
+        return (int) value;
+    }
+}
--- /dev/null
+++ b/src/main/java/calicostream/platform/JsonRpcFront.java
@@ -0,0 +1,244 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.platform;
+
+import calicostream.core.Front;
+import calicostream.core.Gateway;
+import calicostream.core.Slots;
+import calicostream.net.Connection;
+import calicostream.net.Listener;
+import calicostream.net.Loop;
+import calicostream.net.Ring;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayDeque;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The platform's clients: JSON-RPC 2.0, one message a line. */
+final class JsonRpcFront implements Front {
+    private static final Logger LOG = LoggerFactory.getLogger(JsonRpcFront.class);
+    private static final int BOUND_IN = 256 * 1024;
+    private static final int BOUND_OUT = 512 * 1024;
+    private static final int MOST_OPEN = 32;
+    private static final double LONGEST_WAIT_MS = 3_600_000;
+    private final Loop loop;
+    private final Gateway gateway;
+    private final List<String> classNames;
+    private final Slots<Pending> pending = new Slots<>();
+    private final Set<String> openIds = new HashSet<>();
+    private Listener listener;
+
+    /** A request taken and not answered, with the connection that waits for it. */
+    private static final class Pending {
+        final Client client;
+        final long id;
+        final String requestId;
+        long handle;
+
+        Pending(Client client, long id, String requestId) {
+            this.client = client;
+            this.id = id;
+            this.requestId = requestId;
+        }
+    }
+
+    JsonRpcFront(Loop loop, Gateway gateway, List<String> classNames) {
+        this.loop = loop;
+        this.gateway = gateway;
+        this.classNames = classNames;
+    }
+
+    void listen(InetSocketAddress at, int mostClients) throws IOException {
+        listener = new Listener(loop, at, mostClients, this::accepted);
+    }
+
+    int port() throws IOException {
+        return listener.port();
+    }
+
+    void stopListening() throws IOException {
+        listener.close();
+    }
+
+    private void accepted(SocketChannel channel) {
+        try {
+            new Client(channel);
+        } catch (IOException e) {
+            LOG.warn("client: {}", e.toString());
+            listener.released();
+        }
+    }
+
+    // ---- Answers from the core ---------------------------------------------------------------------------
+    @Override
+    public void served(long tag, byte[] result) {
+        answer(tag, p -> JsonRpc.result(p.id, result));
+    }
+
+    @Override
+    public void refused(long tag, long retryAfterMs) {
+        answer(tag, p -> JsonRpc.refused(p.id, retryAfterMs));
+    }
+
+    @Override
+    public void failed(long tag, Failure why) {
+        answer(tag, p -> JsonRpc.error(Long.toString(p.id), JsonRpc.FAILED,
+                why == Failure.DEADLINE ? "not answered in time" : "failed; it may have run"));
+    }
+
+    private interface Wording {
+        byte[] of(Pending pending);
+    }
+
+    private void answer(long tag, Wording wording) {
+        Pending p = pending.remove(tag);
+        if (p != null) {
+            openIds.remove(p.requestId);
+            p.client.open.remove(p.id);
+            p.client.write(wording.of(p));
+        }
+    }
+
+    /** One client's connection. */
+    private final class Client implements Connection.Handler {
+        final Connection connection;
+        final Map<Long, Long> open = new HashMap<>();
+        final ArrayDeque<byte[]> waiting = new ArrayDeque<>();
+        long lastId;
+        int scanned;
+
+        Client(SocketChannel channel) throws IOException {
+            connection = Connection.accepted(loop, channel, this, BOUND_IN, BOUND_OUT);
+        }
+
+        /** A client that does not read gets no more read from it until its answers have gone. */
+        void write(byte[] answer) {
+            if (!waiting.isEmpty() || !connection.write(answer)) {
+                waiting.add(answer);
+                connection.pause(true);
+            }
+        }
+
+        @Override
+        public void drained(Connection c) {
+            while (!waiting.isEmpty() && c.write(waiting.peek())) {
+                waiting.poll();
+            }
+            if (waiting.isEmpty()) {
+                c.pause(false);
+            }
+        }
+
+        @Override
+        public void received(Connection c) {
+            Ring in = c.in();
+            int end = in.indexOf((byte) '\n', scanned);
+            for (; end >= 0 && !c.isClosed(); end = in.indexOf((byte) '\n', 0)) {
+                byte[] line = in.copy(0, end);
+                in.skip(end + 1);
+                line(line);
+            }
+            scanned = in.size();
+            if (in.room() == 0) {
+                write(JsonRpc.error("null", JsonRpc.INVALID_REQUEST, "the line is too long"));
+                c.finish();
+            }
+        }
+
+        @Override
+        public void closed(Connection c) {
+            waiting.clear();
+            listener.released();
+            for (long tag : List.copyOf(open.values())) {
+                Pending p = pending.remove(tag);
+                openIds.remove(p.requestId);
+                gateway.abandon(p.handle);
+            }
+            open.clear();
+        }
+
+        private void line(byte[] line) {
+            if (line.length == 0 || line.length == 1 && line[0] == '\r') {
+                return;
+            }
+            JsonRpc message;
+            try {
+                message = JsonRpc.read(line);
+            } catch (JsonRpc.NotJson e) {
+                write(JsonRpc.error("null", JsonRpc.PARSE_ERROR, "not JSON"));
+                return;
+            }
+            boolean hasId = message.id >= 1 && message.id <= 1L << 53 && message.id == Math.rint(message.id);
+            String id = hasId ? Long.toString((long) message.id) : "null";
+            if (!message.isObject || !"2.0".equals(message.version) || message.method == null) {
+                write(JsonRpc.error(id, JsonRpc.INVALID_REQUEST, "not a request of JSON-RPC 2.0"));
+            } else if (message.method.equals("interrupt")) {
+                interrupt(message);
+            } else if (!hasId) {
+                write(JsonRpc.error(id, JsonRpc.INVALID_REQUEST, "the id is not a number from 1 up"));
+            } else if (message.method.equals("check")) {
+                write(JsonRpc.pass(id));
+            } else if (!classNames.contains(message.method)) {
+                write(JsonRpc.error(id, JsonRpc.METHOD_NOT_FOUND, "no such method"));
+            } else {
+                request(message, (long) message.id);
+            }
+        }
+
+        private void request(JsonRpc message, long id) {
+            byte[] body = body(message.content);
+            boolean usable = message.requestId != null && message.requestId.matches("[0-9a-f]{16}")
+                    && message.wait > 0 && message.wait <= LONGEST_WAIT_MS && body != null;
+            if (open.containsKey(id) || id <= lastId && lastId - id > 4 * MOST_OPEN) {
+                write(JsonRpc.error(Long.toString(id), JsonRpc.INVALID_REQUEST, "the id was used before"));
+                return;
+            }
+            lastId = Math.max(lastId, id);
+            if (!usable || !openIds.add(message.requestId)) {
+                write(JsonRpc.error(Long.toString(id), JsonRpc.INVALID_PARAMS, "the params can't be used"));
+                return;
+            }
+            if (open.size() >= MOST_OPEN) {
+                openIds.remove(message.requestId);
+                write(JsonRpc.refused(id, 100));
+                return;
+            }
+            Pending p = new Pending(this, id, message.requestId);
+            long tag = pending.add(p);
+            open.put(id, tag);
+            int group = Math.max(0, Statement.tableGroup(body));
+            p.handle = gateway.accept(JsonRpcFront.this, tag, message.requestId, classNames.indexOf(message.method),
+                    group, (long) (message.wait * 1000), body);
+        }
+
+        private byte[] body(String content) {
+            try {
+                return content == null ? null : Base64.getDecoder().decode(content);
+            } catch (IllegalArgumentException e) {
+                return null;
+            }
+        }
+
+        /** The client no longer waits; it names the request by its id on the connection, or by its own id. */
+        private void interrupt(JsonRpc message) {
+            Long tag = open.get((long) (Double.isNaN(message.paramsNumber) ? message.id : message.paramsNumber));
+            for (long each : open.values()) {
+                Pending p = pending.get(each);
+                tag = p != null && p.requestId.equals(message.requestId) ? Long.valueOf(each) : tag;
+            }
+            Pending p = tag == null ? null : pending.remove(tag);
+            if (p != null) {
+                open.remove(p.id);
+                openIds.remove(p.requestId);
+                gateway.abandon(p.handle);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/calicostream/platform/Node.java
@@ -0,0 +1,83 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.platform;
+
+import calicostream.core.Clock;
+import calicostream.core.Deadlines;
+import calicostream.core.Gateway;
+import calicostream.core.Watcher;
+import calicostream.net.Loop;
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One front end on the platform: its parts, its start and its end. */
+public final class Node {
+    private static final Logger LOG = LoggerFactory.getLogger(Node.class);
+    private static final long SERVE_ON = 800_000; // us after SIGTERM in which clients may still come: 0.7 s at most
+    private static final long LOOK_AGAIN = 20_000;
+    private static final long LONGEST_END_S = 30;
+    private final Loop loop;
+    private final JsonRpcFront front;
+    private final Gateway gateway;
+    private final NodeConfig config;
+    private final CountDownLatch done = new CountDownLatch(1);
+
+    public Node(NodeConfig config) throws IOException {
+        this.config = config;
+        Clock clock = new Clock();
+        loop = new Loop(clock, new Deadlines());
+        RespEngines engines = new RespEngines(loop, config.settings().classNames(), config.settings().wiring());
+        gateway = new Gateway(clock, loop.deadlines(), config.settings().settings(), Watcher.NONE);
+        engines.attach(gateway);
+        front = new JsonRpcFront(loop, gateway, config.settings().classNames());
+        Roster roster = new Roster(clock, config.settings().zoneNames(), config.settings().kindNames());
+        Roster.Change known = roster.known(config.known());
+        known.addresses().forEach(engines::locate);
+        gateway.start(engines, known.engines());
+        new ChangeLog(loop, config.changelog(), roster, known.seq(), change -> {
+            change.addresses().forEach(engines::locate);
+            gateway.roster(change.kind(), change.engines());
+        }).start();
+    }
+
+    /** Serves until SIGTERM and what was taken by then is answered. */
+    public void run() throws IOException {
+        // Clients hold a third of the descriptors at most; engines, the log and the JVM's files have the rest.
+        front.listen(config.listen(), config.sockets() * 2 / 5);
+        Runtime.getRuntime().addShutdownHook(new Thread(this::terminate, "terminate"));
+        LOG.info("{} listens on port {}", config.name(), front.port());
+        try {
+            loop.run();
+        } finally {
+            done.countDown();
+        }
+    }
+
+    /** On SIGTERM, off the loop's thread: the process ends when this returns. */
+    private void terminate() {
+        loop.post(() -> {
+            long stopAt = loop.clock().now() + SERVE_ON;
+            loop.deadlines().add(stopAt, this::finish, 0);
+        });
+        try {
+            done.await(LONGEST_END_S, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void finish(long now, long ref) {
+        try {
+            front.stopListening();
+        } catch (IOException e) {
+            LOG.warn("listener: {}", e.toString());
+        }
+        if (gateway.open() == 0 && ref > 0) { // Looked at twice, so that the last answer has been written out.
+            loop.stop();
+        } else {
+            loop.deadlines().add(now + LOOK_AGAIN, this::finish, gateway.open() == 0 ? 1 : 0);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/calicostream/platform/NodeConfig.java
@@ -0,0 +1,59 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.platform;
+
+import calicostream.SettingsException;
+import calicostream.SettingsParser;
+import calicostream.net.BadInput;
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.JsonValue;
+import com.eclipsesource.json.ParseException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** What the platform tells a front end in its configuration file. */
+public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress changelog, int sockets,
+        JsonObject known, SettingsParser settings) {
+    private static final int FEWEST_SOCKETS = 64;
+
+    public static NodeConfig read(Path path) {
+        try {
+            return parse(Files.readString(path));
+        } catch (IOException e) {
+            throw new SettingsException("bad configuration: can't read " + path);
+        }
+    }
+
+    static NodeConfig parse(String text) {
+        try {
+            JsonObject root = Json.parse(text).asObject();
+            JsonValue limits = root.get("limits");
+            int sockets = limits == null ? 1024 : limits.asObject().getInt("sockets", 1024);
+            return new NodeConfig(root.getString("name", "front"), address(root, "listen"),
+                    address(root, "changelog"), Math.max(FEWEST_SOCKETS, sockets), member(root, "known"),
+                    SettingsParser.ofJson(member(root, "settings")));
+        } catch (ParseException e) {
+            throw new SettingsException("bad configuration: not JSON: " + e.getMessage());
+        } catch (UnsupportedOperationException | NumberFormatException e) {
+            throw new SettingsException("bad configuration: a value is of the wrong kind: " + e.getMessage());
+        }
+    }
+
+    private static JsonObject member(JsonObject root, String name) {
+        JsonValue value = root.get(name);
+        if (value == null || !value.isObject()) {
+            throw new SettingsException("bad configuration: no object '" + name + "'");
+        }
+        return value.asObject();
+    }
+
+    private static InetSocketAddress address(JsonObject root, String name) {
+        try {
+            return Roster.address(root.getString(name, ""));
+        } catch (BadInput e) {
+            throw new SettingsException("bad configuration: " + name + ": " + e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/calicostream/platform/Roster.java
@@ -0,0 +1,139 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.platform;
+
+import calicostream.QueryRouter;
+import calicostream.QueryRouter.EngineState;
+import calicostream.QueryRouter.RosterKind;
+import calicostream.SettingsException;
+import calicostream.core.Clock;
+import calicostream.net.BadInput;
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.JsonValue;
+import com.eclipsesource.json.ParseException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Reads the change log's events into what the core knows of engines. */
+public final class Roster {
+    /** An event: the engines it names and where each listens. */
+    public record Change(long seq, RosterKind kind, List<QueryRouter.Engine> engines,
+            Map<Long, InetSocketAddress> addresses) { }
+
+    private record Start(long millis, long born) { }
+
+    private final Clock clock;
+    private final List<String> zones;
+    private final List<String> kinds;
+    private final Map<Long, Start> starts = new LinkedHashMap<>();
+
+    public Roster(Clock clock, List<String> zones, List<String> kinds) {
+        this.clock = clock;
+        this.zones = zones;
+        this.kinds = kinds;
+    }
+
+    /** The events of the start, put together to one whole list. */
+    public Change known(JsonObject known) {
+        try {
+            Map<Long, QueryRouter.Engine> engines = new LinkedHashMap<>();
+            Map<Long, InetSocketAddress> addresses = new LinkedHashMap<>();
+            long last = known.getLong("seq", 0);
+            for (JsonValue each : known.get("results").asArray()) {
+                Change change = change(each.asObject());
+                if (change.kind == RosterKind.COMPLETE) {
+                    engines.clear();
+                }
+                change.engines.forEach(e -> engines.put(e.id(), e));
+                addresses.putAll(change.addresses);
+                last = Math.max(last, change.seq);
+            }
+            engines.values().removeIf(e -> e.state() == EngineState.GONE);
+            return new Change(last, RosterKind.CACHED, List.copyOf(engines.values()), addresses);
+        } catch (BadInput | RuntimeException e) {
+            throw new SettingsException("bad configuration: 'known' can't be read: " + e.getMessage());
+        }
+    }
+
+    public Change parse(String event) throws BadInput {
+        try {
+            return change(Json.parse(event).asObject());
+        } catch (ParseException | UnsupportedOperationException | NullPointerException e) {
+            throw new BadInput("an event of the change log can't be read");
+        }
+    }
+
+    private Change change(JsonObject event) throws BadInput {
+        JsonObject fleet = event.get("fleet").asObject();
+        boolean whole = fleet.getBoolean("snapshot", false);
+        List<QueryRouter.Engine> engines = new ArrayList<>();
+        Map<Long, InetSocketAddress> addresses = new LinkedHashMap<>();
+        for (JsonValue each : fleet.get("endpoints").asArray()) {
+            JsonObject entry = each.asObject();
+            String name = entry.getString("name", "");
+            long id = id(name);
+            EngineState state = state(entry.getString("status", ""));
+            engines.add(new QueryRouter.Engine(id, index(kinds, entry.getString("type", "")), entry.getInt("group", 0),
+                    index(zones, entry.getString("zone", "")), born(id, entry.getLong("since_ms", 0)), state));
+            String address = entry.getString("address", "");
+            if (!address.isEmpty()) {
+                addresses.put(id, address(address));
+            } else if (state == EngineState.READY) {
+                throw new BadInput("an engine without an address");
+            }
+        }
+        return new Change(event.getLong("seq", 0), whole ? RosterKind.COMPLETE : RosterKind.CHANGES, engines,
+                addresses);
+    }
+
+    /** A start keeps the module's time it was first given: converted anew it would look like a restart. */
+    private long born(long id, long millis) {
+        Start start = starts.get(id);
+        if (start == null || start.millis != millis) {
+            start = new Start(millis, clock.ofUnixMillis(millis));
+            starts.put(id, start);
+        }
+        return start.born;
+    }
+
+    /** The same number for a name at every front end, as the module compares hashes of it. */
+    static long id(String name) {
+        long hash = 0xcbf29ce484222325L;
+        for (int i = 0; i < name.length(); i++) {
+            hash = (hash ^ name.charAt(i)) * 0x100000001b3L;
+        }
+        return hash >>> 16; // as wide as an engine's id on the simulator's wire
+    }
+
+    private static int index(List<String> names, String name) {
+        int at = names.indexOf(name);
+        return at < 0 ? names.size() : at;
+    }
+
+    private static EngineState state(String status) throws BadInput {
+        switch (status) {
+            case "Ready": return EngineState.READY;
+            case "Terminating": return EngineState.DRAINING;
+            case "Gone": return EngineState.GONE;
+            default: throw new BadInput("an unknown state of an engine");
+        }
+    }
+
+    /** A numeric address and port; names are not looked up, as there is no DNS. */
+    public static InetSocketAddress address(String text) throws BadInput {
+        int colon = text.lastIndexOf(':');
+        String host = colon < 1 ? "" : text.substring(0, colon);
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            if (host.matches("[0-9.]+|\\[[0-9a-fA-F:.]+]")) {
+                return new InetSocketAddress(host, port);
+            }
+        } catch (IllegalArgumentException e) {
+            // Told below, with the text itself.
+        }
+        throw new BadInput("'" + text + "' is not an address and port");
+    }
+}
--- a/src/test/java/calicostream/adapter/WireTest.java
+++ b/src/test/java/calicostream/adapter/WireTest.java
@@ -10,6 +10,7 @@
 import calicostream.QueryRouter.Effect;
 import calicostream.QueryRouter.Reporting;
 import calicostream.QueryRouter.Settings;
+import calicostream.SettingsParser;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
@@ -49,7 +50,7 @@
         }
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         ByteArrayOutputStream errors = new ByteArrayOutputStream();
-        int code = Main.run(new ByteArrayInputStream(in.toByteArray()), out, new PrintStream(errors));
+        int code = Adapter.run(new ByteArrayInputStream(in.toByteArray()), out, new PrintStream(errors));
         return new Ran(code, out.toByteArray(), errors.toString());
     }
 
@@ -178,7 +179,7 @@
 
     @Test
     void settingsAreReadAndUnknownOnesSkipped() {
-        Settings s = new SettingsParser(OPTIONS + "stats.how=on_probe\nlanes.0.allowed_in=1,2\n"
+        Settings s = SettingsParser.ofLines(OPTIONS + "stats.how=on_probe\nlanes.0.allowed_in=1,2\n"
                 + "ceilings.may_probe=true\nmembership_mode=subscribe\n").settings();
         assertEquals(2, s.gateways());
         assertEquals(Effect.REPEATABLE, s.classes().get(0).effect());
@@ -186,7 +187,7 @@
         assertEquals(8, s.kinds().get(0).cores());
         assertEquals(Reporting.ON_PROBE, s.reporting());
         assertTrue(s.rosterOnRequest() && s.limits().probes());
-        Settings bare = new SettingsParser("").settings();
+        Settings bare = SettingsParser.ofLines("").settings();
         assertEquals(1, bare.gateways());
         assertTrue(bare.classes().isEmpty());
     }
@@ -194,7 +195,7 @@
     @Test
     void exceptionInADecisionBecomesTheFaultActionWithItsCause() throws IOException {
         Frame.Reply reply = new Frame.Reply();
-        Instance instance = new Instance(3, new SettingsParser(OPTIONS), reply);
+        Instance instance = new Instance(3, SettingsParser.ofLines(OPTIONS), reply);
         instance.guard(() -> {
             throw new IllegalStateException("odd list");
         });
