Flight SQL front and engine side, gRPC plug-in and RFC 5424 records on the same core

First form, built and not yet shown by tests: the front takes statements, prepared statements and updates; the engine side speaks GetFlightInfo, DoGet and DoPut asynchronously; the plug-in is a gRPC channel that runs Gateway in-process; records go to a collector over UDP or TCP. All are off unless a file under deploy/ enables them, and their classes are then not loaded.

--- a/src/main/java/calicostream/Main.java
+++ b/src/main/java/calicostream/Main.java
@@ -2,8 +2,10 @@
 package calicostream;
 
 import calicostream.adapter.Adapter;
+import calicostream.flight.FlightConfig;
 import calicostream.platform.Node;
 import calicostream.platform.NodeConfig;
+import calicostream.syslog.SyslogConfig;
 import java.io.IOException;
 import java.nio.file.Path;
 
@@ -34,7 +36,9 @@
             if (path == null) {
                 throw new SettingsException("bad configuration: NODE_CONFIG is not set");
             }
-            new Node(NodeConfig.read(Path.of(path))).run();
+            Path deploy = Path.of(System.getProperty("calicostream.deploy", "deploy"));
+            new Node(NodeConfig.read(Path.of(path)), FlightConfig.read(deploy.resolve("flight.json")),
+                    SyslogConfig.read(deploy.resolve("syslog.json"))).run();
         } catch (SettingsException e) {
             System.err.println("calicostream: " + e.getMessage());
             System.exit(UNUSABLE);
--- a/src/main/java/calicostream/QueryRouter.java
+++ b/src/main/java/calicostream/QueryRouter.java
@@ -142,7 +142,14 @@
      */
     record Settings(int gateways, int index, int zone, double crossZonePrice, List<Kind> kinds, List<QueryClass> classes,
             List<Tenant> tenants, double overShareWorth, Limits limits, Rules rules, EngineTraits engines,
-            Reporting reporting, boolean rosterOnRequest, long tickUs) { }
+            Reporting reporting, boolean rosterOnRequest, long tickUs) {
+        /** The same where engines send no news of what runs. */
+        public Settings withoutNotes() {
+            EngineTraits silent = new EngineTraits(engines.grants(), engines.priorities(), engines.mostGrant(), 0);
+            return new Settings(gateways, index, zone, crossZonePrice, kinds, classes, tenants, overShareWorth, limits,
+                    rules, silent, reporting, rosterOnRequest, tickUs);
+        }
+    }
 
     /** A kind of machine. */
     record Kind(double cores, double memoryMb) { }
--- a/src/main/java/calicostream/core/Engines.java
+++ b/src/main/java/calicostream/core/Engines.java
@@ -1,11 +1,19 @@
 // SPDX-License-Identifier: Apache-2.0
 package calicostream.core;
 
+import java.net.InetSocketAddress;
+
 /**
  * The way to the engines. Calls take effect at once or later; what becomes of an attempt is told by
  * {@link Gateway#ended}, once, unless {@link #stop} came first.
  */
 public interface Engines {
+    /** Called once, before anything else: where ends and news of attempts are told. */
+    void attach(Gateway gateway);
+
+    /** Where an engine listens, told before the engine is first sent to and when that changes. */
+    void locate(long engine, InetSocketAddress address);
+
     /** Starts an attempt; nothing of it may go out after a {@link #withdrawn} for its engine. */
     void send(Gateway.Attempt attempt);
 
--- a/src/main/java/calicostream/core/Gateway.java
+++ b/src/main/java/calicostream/core/Gateway.java
@@ -49,6 +49,15 @@
             this.deadline = deadline;
         }
 
+        /** Whether it is a load, which engines take as an update and which holds its tables. */
+        public boolean isLoad() {
+            return spec.load();
+        }
+
+        public boolean isOnce() {
+            return spec.effect() == QueryRouter.Effect.ONCE;
+        }
+
         public int priority() {
             return priority;
         }
@@ -106,6 +115,7 @@
     /** Starts the module with the engines last known. */
     public void start(Engines side, List<QueryRouter.Engine> known) {
         engines = side;
+        engines.attach(this);
         tell(r -> r.start(clock.now()));
         roster(QueryRouter.RosterKind.CACHED, known);
     }
--- /dev/null
+++ b/src/main/java/calicostream/grpc/BalancingChannel.java
@@ -0,0 +1,297 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.grpc;
+
+import calicostream.QueryRouter;
+import calicostream.QueryRouter.Outcome;
+import calicostream.QueryRouter.RosterKind;
+import calicostream.SettingsParser;
+import calicostream.core.Clock;
+import calicostream.core.Deadlines;
+import calicostream.core.Engines;
+import calicostream.core.Front;
+import calicostream.core.Gateway;
+import calicostream.core.Watcher;
+import calicostream.net.Loop;
+import io.grpc.CallOptions;
+import io.grpc.Channel;
+import io.grpc.ClientCall;
+import io.grpc.Deadline;
+import io.grpc.ManagedChannel;
+import io.grpc.Metadata;
+import io.grpc.MethodDescriptor;
+import io.grpc.Status;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The client-side plug-in: a gRPC channel whose every call goes through a {@link Gateway} in this process to
+ * one of several engines. A call's messages are kept until its client has half-closed, so that a further
+ * attempt can send them again, and an answer is passed on once it is whole. Calls name their class and table
+ * group by {@link #QUERY_CLASS} and {@link #TABLE_GROUP}; bidirectional streams are not taken.
+ */
+public final class BalancingChannel extends Channel implements AutoCloseable {
+    public static final CallOptions.Key<String> QUERY_CLASS = CallOptions.Key.create("calicostream-class");
+    public static final CallOptions.Key<Integer> TABLE_GROUP = CallOptions.Key.createWithDefault("table-group", 0);
+    private static final Logger LOG = LoggerFactory.getLogger(BalancingChannel.class);
+    private static final byte[] NO_BODY = {};
+    private final Loop loop;
+    private final Gateway gateway;
+    private final Channels channels;
+    private final List<String> classNames;
+    private final List<QueryRouter.QueryClass> classes;
+    private final Map<String, Call<?, ?>> calls = new HashMap<>();
+    private final Thread thread;
+
+    /** Starts with no engines; {@code dial} makes the channel to one, with gRPC's own retries disabled. */
+    public BalancingChannel(SettingsParser settings, Function<InetSocketAddress, ManagedChannel> dial, Watcher watcher)
+            throws IOException {
+        Clock clock = new Clock();
+        loop = new Loop(clock, new Deadlines());
+        classNames = settings.classNames();
+        classes = settings.settings().classes();
+        channels = new Channels(loop, settings.wiring(), dial);
+        // A plain gRPC service sends no notes of progress: silence there means nothing.
+        gateway = new Gateway(clock, loop.deadlines(), settings.settings().withoutNotes(), watcher);
+        gateway.start(new Side(), List.of());
+        thread = new Thread(this::run, "calicostream");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void run() {
+        try {
+            loop.run();
+        } catch (IOException e) {
+            LOG.error("the plug-in's loop ended", e);
+        }
+    }
+
+    /** News of the engines; addresses of those that are new or have moved. */
+    public void roster(RosterKind kind, List<QueryRouter.Engine> engines, Map<Long, InetSocketAddress> addresses) {
+        loop.post(() -> {
+            addresses.forEach(channels::locate);
+            gateway.roster(kind, engines);
+        });
+    }
+
+    @Override
+    public void close() {
+        loop.post(() -> {
+            List.copyOf(calls.values()).forEach(call -> call.end(Status.UNAVAILABLE.withDescription("closed"),
+                    new Metadata()));
+            channels.close();
+            loop.stop();
+        });
+    }
+
+    @Override
+    public String authority() {
+        return "calicostream";
+    }
+
+    @Override
+    public <Q, R> ClientCall<Q, R> newCall(MethodDescriptor<Q, R> method, CallOptions options) {
+        return new Call<>(method, options);
+    }
+
+    /** The engine side: replays a call's messages on the channel to the engine chosen. */
+    private final class Side implements Engines {
+        @Override
+        public void attach(Gateway to) {
+            channels.attach(to);
+        }
+
+        @Override
+        public void locate(long engine, InetSocketAddress address) {
+            channels.locate(engine, address);
+        }
+
+        @Override
+        public void send(Gateway.Attempt attempt) {
+            Call<?, ?> call = calls.get(attempt.request.id);
+            channels.start(attempt, channel -> call.attempt(attempt, channel));
+        }
+
+        @Override
+        public void stop(Gateway.Attempt attempt) {
+            if (!channels.takeBack(attempt) && attempt.link instanceof ClientCall<?, ?> out) {
+                out.cancel("given up", null);
+            }
+        }
+
+        @Override
+        public void priority(Gateway.Attempt attempt) {
+            // gRPC has no word for the priority of a call that runs; the next attempt carries it.
+        }
+
+        @Override
+        public void withdrawn(long engine) {
+            channels.withdrawn(engine);
+        }
+    }
+
+    /** One call of the application's. */
+    private final class Call<Q, R> extends ClientCall<Q, R> implements Front {
+        private final MethodDescriptor<Q, R> method;
+        private final CallOptions options;
+        private final Executor executor;
+        private final String id = String.format("%016x", ThreadLocalRandom.current().nextLong());
+        private final List<Q> messages = new ArrayList<>();
+        private Listener<R> listener;
+        private Metadata headers;
+        private long handle;
+        private boolean over;
+        private Received<R> received;
+
+        Call(MethodDescriptor<Q, R> method, CallOptions options) {
+            this.method = method;
+            this.options = options;
+            executor = options.getExecutor() == null ? Runnable::run : options.getExecutor();
+        }
+
+        @Override
+        public void start(Listener<R> to, Metadata metadata) {
+            listener = to;
+            headers = metadata;
+        }
+
+        @Override
+        public void request(int count) {
+            // Answers are kept whole before any is passed on, so there is nothing to hold back.
+        }
+
+        @Override
+        public void sendMessage(Q message) {
+            messages.add(message);
+        }
+
+        @Override
+        public void halfClose() {
+            Deadline deadline = options.getDeadline();
+            long arrived = loop.clock().now();
+            loop.post(() -> accept(deadline, arrived));
+        }
+
+        private void accept(Deadline deadline, long arrived) {
+            int queryClass = classNames.indexOf(options.getOption(QUERY_CLASS));
+            boolean both = method.getType() == MethodDescriptor.MethodType.BIDI_STREAMING;
+            if (over || both || queryClass < 0) {
+                end(both ? Status.UNIMPLEMENTED.withDescription("no bidirectional streams")
+                        : Status.INVALID_ARGUMENT.withDescription("the call names no class"), new Metadata());
+                return;
+            }
+            long budget = classes.get(queryClass).deadlineUs() - (loop.clock().now() - arrived);
+            budget = deadline == null ? budget : Math.min(budget, deadline.timeRemaining(TimeUnit.MICROSECONDS));
+            if (budget <= 0) {
+                end(Status.DEADLINE_EXCEEDED, new Metadata());
+                return;
+            }
+            calls.put(id, this);
+            handle = gateway.accept(this, 0, id, queryClass, options.getOption(TABLE_GROUP), budget, NO_BODY);
+        }
+
+        @Override
+        public void cancel(String message, Throwable cause) {
+            loop.post(() -> {
+                gateway.abandon(handle);
+                end(Status.CANCELLED.withDescription(message).withCause(cause), new Metadata());
+            });
+        }
+
+        private void end(Status status, Metadata trailers) {
+            calls.remove(id);
+            if (!over && listener != null) {
+                over = true;
+                executor.execute(() -> listener.onClose(status, trailers));
+            }
+        }
+
+        void attempt(Gateway.Attempt attempt, ManagedChannel channel) {
+            Received<R> into = new Received<>(attempt);
+            Metadata sent = new Metadata();
+            sent.merge(headers);
+            sent.put(Calls.CLASS, classNames.get(attempt.request.queryClass));
+            sent.put(Calls.REQUEST, id);
+            sent.put(Calls.URGENCY, Integer.toString(attempt.request.priority()));
+            long left = Math.max(1, attempt.giveUpAt - loop.clock().now());
+            ClientCall<Q, R> out = channel.newCall(method, options.withDeadlineAfter(left, TimeUnit.MICROSECONDS)
+                    .withoutWaitForReady().withExecutor(Runnable::run));
+            attempt.link = out;
+            received = into;
+            out.start(into, sent);
+            out.request(Integer.MAX_VALUE);
+            messages.forEach(out::sendMessage);
+            out.halfClose();
+        }
+
+        @Override
+        public void served(long tag, byte[] result) {
+            Received<R> whole = received;
+            calls.remove(id);
+            over = true;
+            executor.execute(() -> {
+                listener.onHeaders(whole.headers);
+                whole.messages.forEach(listener::onMessage);
+                listener.onClose(Status.OK, whole.trailers);
+            });
+        }
+
+        @Override
+        public void refused(long tag, long retryAfterMs) {
+            Metadata trailers = new Metadata();
+            trailers.put(Calls.STAY_AWAY, Long.toString(retryAfterMs));
+            end(Status.UNAVAILABLE.withDescription("refused; stay away for " + retryAfterMs + " ms"), trailers);
+        }
+
+        @Override
+        public void failed(long tag, Failure why) {
+            boolean told = why == Failure.ENGINE && received != null && received.status != null;
+            end(why == Failure.DEADLINE ? Status.DEADLINE_EXCEEDED.withDescription("not answered in time")
+                    : told ? received.status : Status.INTERNAL.withDescription("failed; it may have run"),
+                    told ? received.trailers : new Metadata());
+        }
+    }
+
+    /** What an attempt has answered so far; its end is told on the loop. */
+    private final class Received<R> extends ClientCall.Listener<R> {
+        final Gateway.Attempt attempt;
+        final List<R> messages = new ArrayList<>();
+        Metadata headers = new Metadata();
+        Metadata trailers = new Metadata();
+        Status status;
+
+        Received(Gateway.Attempt attempt) {
+            this.attempt = attempt;
+        }
+
+        @Override
+        public void onHeaders(Metadata told) {
+            headers = told;
+        }
+
+        @Override
+        public void onMessage(R message) {
+            messages.add(message);
+        }
+
+        @Override
+        public void onClose(Status ended, Metadata told) {
+            loop.post(() -> {
+                trailers = told;
+                status = ended;
+                Outcome outcome = ended.isOk() ? Outcome.OK : Calls.outcome(ended, told, attempt.request.isOnce());
+                gateway.ended(attempt, outcome, Calls.report(headers, told), null);
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/calicostream/grpc/Channels.java
@@ -0,0 +1,123 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.grpc;
+
+import calicostream.QueryRouter.Outcome;
+import calicostream.SettingsParser.Wiring;
+import calicostream.core.Gateway;
+import calicostream.net.Loop;
+import io.grpc.ConnectivityState;
+import io.grpc.ManagedChannel;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Function;
+
+/**
+ * A gRPC channel to each engine. An attempt starts only on a channel that is up: until then nothing of it
+ * has gone out, so a failure to connect proves that it never ran, and a drain can still take it back.
+ */
+public final class Channels {
+    private final Loop loop;
+    private final Wiring wiring;
+    private final Function<InetSocketAddress, ManagedChannel> dial;
+    private final Map<Long, Peer> peers = new HashMap<>();
+    private Gateway gateway;
+
+    private record Waiting(Gateway.Attempt attempt, Consumer<ManagedChannel> begin) { }
+
+    private static final class Peer {
+        final InetSocketAddress address;
+        final ManagedChannel channel;
+        final List<Waiting> waiting = new ArrayList<>();
+        ConnectivityState seen;
+
+        Peer(InetSocketAddress address, ManagedChannel channel) {
+            this.address = address;
+            this.channel = channel;
+        }
+    }
+
+    /** The channels dialled must leave further attempts to the module: {@code disableRetry()}. */
+    public Channels(Loop loop, Wiring wiring, Function<InetSocketAddress, ManagedChannel> dial) {
+        this.loop = loop;
+        this.wiring = wiring;
+        this.dial = dial;
+    }
+
+    public void attach(Gateway to) {
+        gateway = to;
+    }
+
+    public void locate(long engine, InetSocketAddress address) {
+        Peer old = peers.get(engine);
+        if (old == null || !old.address.equals(address)) {
+            peers.put(engine, new Peer(address, dial.apply(address)));
+            if (old != null) {
+                takeBack(old);
+                old.channel.shutdown(); // What runs on it may finish.
+            }
+        }
+    }
+
+    /** Runs {@code begin} once the engine's channel is up, or ends the attempt as never sent. */
+    public void start(Gateway.Attempt attempt, Consumer<ManagedChannel> begin) {
+        Peer peer = peers.get(attempt.engine);
+        if (peer == null) {
+            gateway.ended(attempt, Outcome.CONNECT_FAILED, null, null);
+        } else if (peer.channel.getState(true) == ConnectivityState.READY) {
+            begin.accept(peer.channel);
+        } else {
+            Waiting waiting = new Waiting(attempt, begin);
+            peer.waiting.add(waiting);
+            peer.channel.resetConnectBackoff();
+            watch(peer);
+            long patience = loop.clock().now() + wiring.dialTimeoutUs();
+            loop.deadlines().add(patience, (now, ref) -> fail(peer, waiting), 0);
+        }
+    }
+
+    /** Whether the attempt had not gone out, and now will not. */
+    public boolean takeBack(Gateway.Attempt attempt) {
+        Peer peer = peers.get(attempt.engine);
+        return peer != null && peer.waiting.removeIf(each -> each.attempt == attempt);
+    }
+
+    public void withdrawn(long engine) {
+        Peer peer = peers.get(engine);
+        if (peer != null) {
+            takeBack(peer);
+        }
+    }
+
+    public void close() {
+        peers.values().forEach(peer -> peer.channel.shutdownNow());
+    }
+
+    private void takeBack(Peer peer) {
+        List.copyOf(peer.waiting).forEach(each -> fail(peer, each));
+    }
+
+    private void fail(Peer peer, Waiting waiting) {
+        if (peer.waiting.remove(waiting)) {
+            gateway.ended(waiting.attempt, Outcome.CONNECT_FAILED, null, null);
+        }
+    }
+
+    private void watch(Peer peer) {
+        ConnectivityState state = peer.channel.getState(true);
+        if (state == ConnectivityState.READY) {
+            List<Waiting> ready = List.copyOf(peer.waiting);
+            peer.waiting.clear();
+            ready.forEach(each -> each.begin.accept(peer.channel));
+        } else if (state == ConnectivityState.TRANSIENT_FAILURE && peer.seen == ConnectivityState.CONNECTING) {
+            takeBack(peer);
+        }
+        peer.seen = state;
+        if (!peer.waiting.isEmpty()) {
+            peer.channel.notifyWhenStateChanged(state, () -> loop.post(() -> watch(peer)));
+        }
+    }
+}
--- a/src/main/java/calicostream/platform/JsonRpcFront.java
+++ b/src/main/java/calicostream/platform/JsonRpcFront.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.UnaryOperator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -33,6 +34,7 @@
     private final List<String> classNames;
     private final Slots<Pending> pending = new Slots<>();
     private final Set<String> openIds = new HashSet<>();
+    private final UnaryOperator<byte[]> text;
     private Listener listener;
 
     /** A request taken and not answered, with the connection that waits for it. */
@@ -49,7 +51,9 @@
         }
     }
 
-    JsonRpcFront(Loop loop, Gateway gateway, List<String> classNames) {
+    /** {@code text} turns a result, as the engine side gives it, into rows of text. */
+    JsonRpcFront(Loop loop, Gateway gateway, List<String> classNames, UnaryOperator<byte[]> text) {
+        this.text = text;
         this.loop = loop;
         this.gateway = gateway;
         this.classNames = classNames;
@@ -79,7 +83,7 @@
     // ---- Answers from the core ---------------------------------------------------------------------------
     @Override
     public void served(long tag, byte[] result) {
-        answer(tag, p -> JsonRpc.result(p.id, result));
+        answer(tag, p -> JsonRpc.result(p.id, text.apply(result)));
     }
 
     @Override
--- a/src/main/java/calicostream/platform/Node.java
+++ b/src/main/java/calicostream/platform/Node.java
@@ -1,11 +1,19 @@
 // SPDX-License-Identifier: Apache-2.0
 package calicostream.platform;
 
+import calicostream.QueryRouter.Settings;
+import calicostream.SettingsParser;
 import calicostream.core.Clock;
 import calicostream.core.Deadlines;
+import calicostream.core.Engines;
 import calicostream.core.Gateway;
 import calicostream.core.Watcher;
+import calicostream.flight.FlightConfig;
+import calicostream.flight.FlightEngines;
+import calicostream.flight.FlightFront;
 import calicostream.net.Loop;
+import calicostream.syslog.Syslog;
+import calicostream.syslog.SyslogConfig;
 import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -21,18 +29,26 @@
     private final Loop loop;
     private final JsonRpcFront front;
     private final Gateway gateway;
+    private final FlightFront flight;
     private final NodeConfig config;
     private final CountDownLatch done = new CountDownLatch(1);
 
-    public Node(NodeConfig config) throws IOException {
+    /** Flight SQL and syslog are off, and their classes not loaded, where their configuration is null. */
+    public Node(NodeConfig config, FlightConfig flightConfig, SyslogConfig syslogConfig) throws IOException {
         this.config = config;
+        SettingsParser settings = config.settings();
         Clock clock = new Clock();
         loop = new Loop(clock, new Deadlines());
-        RespEngines engines = new RespEngines(loop, config.settings().classNames(), config.settings().wiring());
-        gateway = new Gateway(clock, loop.deadlines(), config.settings().settings(), Watcher.NONE);
-        engines.attach(gateway);
-        front = new JsonRpcFront(loop, gateway, config.settings().classNames());
-        Roster roster = new Roster(clock, config.settings().zoneNames(), config.settings().kindNames());
+        boolean flightEngines = flightConfig != null && flightConfig.flightEngines();
+        Engines engines = flightEngines ? new FlightEngines(loop, settings, flightConfig.mostResultBytes())
+                : new RespEngines(loop, settings.classNames(), settings.wiring());
+        Watcher watcher = syslogConfig == null ? Watcher.NONE
+                : new Syslog(loop, syslogConfig, config.name(), settings.classNames());
+        Settings decided = flightEngines ? settings.settings().withoutNotes() : settings.settings();
+        gateway = new Gateway(clock, loop.deadlines(), decided, watcher);
+        flight = flightConfig == null ? null : new FlightFront(loop, gateway, flightConfig, settings);
+        front = new JsonRpcFront(loop, gateway, settings.classNames(), flight == null ? rows -> rows : flight::text);
+        Roster roster = new Roster(clock, settings.zoneNames(), settings.kindNames());
         Roster.Change known = roster.known(config.known());
         known.addresses().forEach(engines::locate);
         gateway.start(engines, known.engines());
@@ -48,6 +64,10 @@
         front.listen(config.listen(), config.sockets() * 2 / 5);
         Runtime.getRuntime().addShutdownHook(new Thread(this::terminate, "terminate"));
         LOG.info("{} listens on port {}", config.name(), front.port());
+        if (flight != null) {
+            flight.start();
+            LOG.info("Flight SQL listens on port {}", flight.port());
+        }
         try {
             loop.run();
         } finally {
@@ -63,6 +83,9 @@
         });
         try {
             done.await(LONGEST_END_S, TimeUnit.SECONDS);
+            if (flight != null) {
+                flight.awaitEnd();
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -71,6 +94,9 @@
     private void finish(long now, long ref) {
         try {
             front.stopListening();
+            if (flight != null) {
+                flight.stopListening();
+            }
         } catch (IOException e) {
             LOG.warn("listener: {}", e.toString());
         }
--- a/src/main/java/calicostream/platform/RespEngines.java
+++ b/src/main/java/calicostream/platform/RespEngines.java
@@ -66,12 +66,14 @@
         reportIdleUs = wiring.idleUs() * 7 / 10;
     }
 
-    void attach(Gateway to) {
+    @Override
+    public void attach(Gateway to) {
         gateway = to;
     }
 
     /** Where an engine listens; another address for a known id is a new process there. */
-    void locate(long id, InetSocketAddress address) {
+    @Override
+    public void locate(long id, InetSocketAddress address) {
         Engine e = engines.computeIfAbsent(id, k -> new Engine());
         if (!address.equals(e.address)) {
             e.address = address;
--- /dev/null
+++ b/src/main/java/calicostream/syslog/SyslogConfig.java
@@ -0,0 +1,37 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.syslog;
+
+import calicostream.SettingsException;
+import calicostream.net.BadInput;
+import calicostream.platform.Roster;
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.ParseException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/** The file that names the collector; {@code enterprise} is the number that the structured data's names bear. */
+public record SyslogConfig(InetSocketAddress collector, boolean tcp, int facility, int enterprise) {
+    private static final int LOCAL0 = 16;
+    private static final int EXAMPLE = 32473; // the number that RFC 5612 sets aside for documentation
+
+    /** Null where there is no such file or it leaves the records off. */
+    public static SyslogConfig read(Path path) {
+        if (!Files.exists(path)) {
+            return null;
+        }
+        try {
+            JsonObject root = Json.parse(Files.readString(path)).asObject();
+            if (!root.getBoolean("enabled", false)) {
+                return null;
+            }
+            return new SyslogConfig(Roster.address(root.getString("collector", "")),
+                    root.getString("transport", "udp").equals("tcp"), root.getInt("facility", LOCAL0),
+                    root.getInt("enterprise", EXAMPLE));
+        } catch (IOException | BadInput | ParseException | UnsupportedOperationException | NumberFormatException e) {
+            throw new SettingsException("bad configuration: " + path + ": " + e.getMessage());
+        }
+    }
+}
