Refusals name a time to stay away: 300 ms, as decided in the module

Seen: every refusal of the module said 0, so clients that were turned away came back at once into the same crowd, or had nothing to heed. Lines: Logic.finish, actions.refuse(id, 0).

--- a/src/main/java/calicostream/Logic.java
+++ b/src/main/java/calicostream/Logic.java
@@ -62,6 +62,7 @@
     static final long ANSWER_TICKS = 2; // ticks before the client's deadline at which we end a query
     static final double QUOTA_CHANCE = 4; // queries that a tenant may save up besides a second of its quota
     static final double VALUABLE = 2.0; // worth for work, against the mean, for top priority
+    static final long STAY_AWAY = 300_000; // us a client turned away is asked to wait: a few look-ups' time
     static final int PUMP_MISSES = 6; // held queries that may find no room before the rest wait
     static final double ZONE_PULL = 100; // by price: at 1% of worth another zone's engines lead half as often
     static final long HASH_SPREAD = 0x9E3779B97F4A7C15L; // odd and irregular: neighbours in, strangers out
@@ -744,7 +745,7 @@
         boolean harmless = job.spec.effect() == Effect.REPEATABLE || job.at == null && !job.mayHaveRun
                 || job.spec.effect() == Effect.BY_KEY && job.spec.scope() == Scope.ALL && job.at == null;
         if (refuse && harmless) {
-            actions.refuse(job.query.id(), 0);
+            actions.refuse(job.query.id(), STAY_AWAY);
         } else {
             actions.fail(job.query.id());
         }
