--- /dev/null
+++ b/src/test/java/calicostream/core/GatewayTest.java
@@ -0,0 +1,203 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import calicostream.QueryRouter.Engine;
+import calicostream.QueryRouter.EngineState;
+import calicostream.QueryRouter.Outcome;
+import calicostream.QueryRouter.RosterKind;
+import calicostream.SettingsParser;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What the core promises whatever its two sides and the module do, on a clock that the tests turn. */
+class GatewayTest {
+    private static final String SETTINGS = "lanes.count=2\nlanes.0.name=look\nlanes.0.effect=repeatable\n"
+            + "lanes.0.aim_us=800000\nlanes.0.deadline_us=4000000\nlanes.1.name=load\nlanes.1.effect=once\n"
+            + "lanes.1.aim_us=4000000\nlanes.1.deadline_us=20000000\nfamily_info.kind_cores=12\n"
+            + "family_info.kind_memory_mb=24576\nceilings.max_attempts=3\nceilings.cancel=true\ntick_us=5000\n"
+            + "family_info.holds_tables=false,true\nfamily_info.waits_for_loads=true,false\n"
+            + "family_info.width_by_class=1,2\nrules.cold_share=0.3\nrules.overload_factor=4\n"
+            + "rules.fall_us=2000000\nrules.warm_up_us=14000000\n";
+    private long time = 1_000_000;
+    private final Clock clock = new Clock() {
+        @Override
+        public long now() {
+            return time;
+        }
+    };
+    private final Deadlines deadlines = new Deadlines();
+    private final List<Gateway.Attempt> sent = new ArrayList<>();
+    private final List<String> told = new ArrayList<>();
+    private final Gateway gateway = new Gateway(clock, deadlines, SettingsParser.ofLines(SETTINGS).settings(),
+            Watcher.NONE);
+    private Outcome atOnce;
+
+    private final Engines engines = new Engines() {
+        @Override
+        public void attach(Gateway to) { }
+
+        @Override
+        public void locate(long engine, InetSocketAddress address) { }
+
+        @Override
+        public void send(Gateway.Attempt attempt) {
+            sent.add(attempt);
+            if (atOnce != null) {
+                gateway.ended(attempt, atOnce, null, null);
+            }
+        }
+
+        @Override
+        public void stop(Gateway.Attempt attempt) {
+            told.add("stop " + attempt.number);
+        }
+
+        @Override
+        public void priority(Gateway.Attempt attempt) { }
+
+        @Override
+        public void withdrawn(long engine) {
+            told.add("withdrawn " + engine);
+        }
+    };
+
+    private final Front front = new Front() {
+        @Override
+        public void served(long tag, byte[] result) {
+            told.add("served " + tag + " " + new String(result));
+        }
+
+        @Override
+        public void refused(long tag, long retryAfterMs) {
+            told.add("refused " + tag);
+        }
+
+        @Override
+        public void failed(long tag, Failure why) {
+            told.add("failed " + tag + " " + why);
+        }
+    };
+
+    private static Engine engine(long id, EngineState state) {
+        return new Engine(id, 0, 0, 0, 0, state);
+    }
+
+    private long ask(int queryClass, long tag, long budgetUs) {
+        return gateway.accept(front, tag, "id" + tag, queryClass, 1, budgetUs, new byte[0]);
+    }
+
+    private void pass(long us) {
+        for (long end = time + us; time < end;) {
+            time = Math.max(time, Math.min(end, deadlines.next()));
+            deadlines.run(time);
+        }
+    }
+
+    @BeforeEach
+    void start() {
+        gateway.start(engines, List.of(engine(7, EngineState.READY), engine(8, EngineState.READY)));
+    }
+
+    @Test
+    void lateAndSecondEndsAreIgnored() {
+        ask(0, 1, 4_000_000);
+        gateway.ended(sent.get(0), Outcome.OK, null, "a".getBytes());
+        gateway.ended(sent.get(0), Outcome.OK, null, "b".getBytes());
+        gateway.ended(sent.get(0), Outcome.RESET, null, null);
+        pass(5_000_000);
+        assertEquals(List.of("served 1 a"), told);
+        assertEquals(0, gateway.open());
+    }
+
+    @Test
+    void anEndInsideASendDoesNotReenterTheModule() {
+        atOnce = Outcome.CONNECT_FAILED;
+        ask(1, 1, 20_000_000);
+        pass(21_000_000);
+        assertTrue(sent.size() <= 3, sent.size() + " attempts");
+        assertEquals(1, told.stream().filter(t -> t.matches("(served|refused|failed) 1.*")).count(), told.toString());
+    }
+
+    @Test
+    void aLoadThatMayHaveRunIsNeitherSentAgainNorRefused() {
+        ask(1, 1, 20_000_000);
+        gateway.ended(sent.get(0), Outcome.RESET, null, null);
+        gateway.send(sent.get(0).request.handle, 8, 0);
+        pass(21_000_000);
+        assertEquals(1, sent.size());
+        assertEquals(List.of("failed 1 ENGINE"), told);
+    }
+
+    @Test
+    void theModuleCannotSendTwiceAtOnceOrRefuseARunningLoad() {
+        long handle = ask(1, 1, 20_000_000);
+        gateway.send(handle, 8, 0);
+        assertEquals(1, sent.size());
+        gateway.refuse(handle, 0);
+        assertEquals(List.of("stop 0", "failed 1 ENGINE"), told);
+    }
+
+    @Test
+    void anAbandonedRequestGetsNoAnswerAndFreesTheEngine() {
+        gateway.abandon(ask(0, 1, 4_000_000));
+        gateway.ended(sent.get(0), Outcome.OK, null, "a".getBytes());
+        pass(5_000_000);
+        assertEquals(List.of("stop 0"), told);
+    }
+
+    @Test
+    void theDeadlineIsAnsweredInTime() {
+        ask(0, 1, 600_000);
+        pass(600_000);
+        assertEquals(List.of("stop 0", "failed 1 DEADLINE"), told.stream().limit(2).toList());
+        pass(5_000_000);
+        assertEquals(2, told.size());
+    }
+
+    @Test
+    void nothingIsSentToAnEngineThatDrains() {
+        gateway.roster(RosterKind.CHANGES, List.of(engine(7, EngineState.DRAINING)));
+        assertEquals(List.of("withdrawn 7"), told);
+        for (int i = 1; i <= 10; i++) {
+            ask(0, i, 4_000_000);
+        }
+        assertTrue(sent.stream().allMatch(a -> a.engine == 8));
+        long handle = sent.get(0).request.handle;
+        gateway.ended(sent.get(0), Outcome.FULL, null, null);
+        int before = sent.size();
+        gateway.send(handle, 7, 0);
+        assertEquals(before, sent.size());
+    }
+
+    @Test
+    void handlesOfPastEntriesFindNothing() {
+        Slots<String> slots = new Slots<>();
+        long first = slots.add("a");
+        slots.remove(first);
+        long second = slots.add("b");
+        assertNull(slots.get(first));
+        assertNull(slots.remove(first));
+        assertEquals("b", slots.get(second));
+        assertFalse(first == second);
+    }
+
+    @Test
+    void deadlinesComeInOrderAndEqualOnesAsMade() {
+        Deadlines heap = new Deadlines();
+        List<Long> seen = new ArrayList<>();
+        for (int i = 0; i < 1000; i++) {
+            heap.add(i * 7919L % 100, (now, ref) -> seen.add(ref), i * 7919L % 100 * 1000 + i);
+        }
+        heap.run(1000);
+        assertEquals(seen.stream().sorted().toList(), seen);
+        assertEquals(1000, seen.size());
+    }
+}
--- /dev/null
+++ b/src/test/java/calicostream/wire/ConfigurationTest.java
@@ -0,0 +1,51 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.wire;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import calicostream.SettingsParser;
+import com.eclipsesource.json.Json;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class ConfigurationTest {
+    @TempDir
+    Path folder;
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "{", "[]", "{\"listen\":\"127.0.0.1:0\"}", "{\"listen\":7,\"changelog\":\"x\"}",
+        "{\"listen\":\"localhost:80\",\"changelog\":\"127.0.0.1:1\",\"known\":{},\"settings\":{}}",
+        "{\"listen\":\"127.0.0.1:0\",\"changelog\":\"127.0.0.1:1\",\"known\":{},\"settings\":{}}",
+        "{\"listen\":\"127.0.0.1:0\",\"changelog\":\"127.0.0.1:1\",\"known\":{\"results\":[]},"
+            + "\"settings\":{\"stats\":{\"how\":\"what\"}}}"})
+    void badConfigurationEndsTheProgramWithOneLine(String text) throws Exception {
+        Process process = Program.launch(folder, Files.writeString(folder.resolve("bad.json"), text));
+        List<String> said = process.inputReader().lines().toList();
+        assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+        assertEquals(2, process.exitValue());
+        assertEquals(1, said.size(), said.toString());
+        assertTrue(said.get(0).startsWith("calicostream: bad "), said.get(0));
+    }
+
+    @Test
+    void bothFormsOfTheSettingsReadAlike() {
+        String lines = "balancers=2\nstats.columns=util,inflight\nstats.how=inline\nlanes.count=1\nlanes.0.name=a_b\n"
+                + "lanes.0.effect=once\nlanes.0.aim_us=5\nlanes.0.allowed_in=0,1\nfamily_info.kind_cores=12,8\n"
+                + "ceilings.may_probe=false\nrealms=\n";
+        String json = "{'balancers':2,'stats':{'columns':['util','inflight'],'how':'inline'},'lanes':[{'name':'a b',"
+                + "'effect':'once','aim_us':5,'allowed_in':[0,1]}],'family_info':{'kind_cores':[12,8]},"
+                + "'ceilings':{'may_probe':false},'realms':[],'new':{'key':null}}";
+        SettingsParser one = SettingsParser.ofLines(lines);
+        SettingsParser other = SettingsParser.ofJson(Json.parse(json.replace('\'', '"')).asObject());
+        assertEquals(one.settings(), other.settings());
+        assertEquals(one.classNames(), other.classNames());
+        assertEquals(List.of("util", "inflight"), other.columns());
+    }
+}
