--- a/src/main/java/calicostream/net/Connection.java
+++ b/src/main/java/calicostream/net/Connection.java
@@ -67,6 +67,11 @@
         return in;
     }
 
+    /** Bytes queued that the socket has not taken. */
+    public int unsent() {
+        return out.size();
+    }
+
     public boolean isConnected() {
         return !connecting && !closed;
     }
--- a/src/main/java/calicostream/platform/JsonRpcFront.java
+++ b/src/main/java/calicostream/platform/JsonRpcFront.java
@@ -33,6 +33,7 @@
     private final Gateway gateway;
     private final List<String> classNames;
     private final Slots<Pending> pending = new Slots<>();
+    private final Set<Client> clients = new HashSet<>();
     private final Set<String> openIds = new HashSet<>();
     private final UnaryOperator<byte[]> text;
     private Listener listener;
@@ -67,6 +68,11 @@
         return listener.port();
     }
 
+    /** Bytes of answers that have not gone out yet: ending now would lose them. */
+    long unsent() {
+        return clients.stream().mapToLong(c -> c.connection.unsent() + c.waiting.size()).sum();
+    }
+
     void stopListening() throws IOException {
         listener.close();
     }
@@ -120,6 +126,7 @@
 
         Client(SocketChannel channel) throws IOException {
             connection = Connection.accepted(loop, channel, this, BOUND_IN, BOUND_OUT);
+            clients.add(this);
         }
 
         /** A client that does not read gets no more read from it until its answers have gone. */
@@ -159,6 +166,7 @@
         @Override
         public void closed(Connection c) {
             waiting.clear();
+            clients.remove(this);
             listener.released();
             for (long tag : List.copyOf(open.values())) {
                 Pending p = pending.remove(tag);
--- a/src/main/java/calicostream/platform/Node.java
+++ b/src/main/java/calicostream/platform/Node.java
@@ -61,9 +61,10 @@
     /** Serves until SIGTERM and what was taken by then is answered. */
     public void run() throws IOException {
         // Clients hold a third of the descriptors at most; engines, the log and the JVM's files have the rest.
+        int warmed = new WarmUp(config.settings().settings(), config.settings().classNames()).run();
         front.listen(config.listen(), config.sockets() * 2 / 5);
         Runtime.getRuntime().addShutdownHook(new Thread(this::terminate, "terminate"));
-        LOG.info("{} listens on port {}", config.name(), front.port());
+        LOG.info("{}, warmed up by {} requests, listens on port {}", config.name(), warmed, front.port());
         if (flight != null) {
             flight.start();
             LOG.info("Flight SQL listens on port {}", flight.port());
@@ -100,10 +101,10 @@
         } catch (IOException e) {
             LOG.warn("listener: {}", e.toString());
         }
-        if (gateway.open() == 0 && ref > 0) { // Looked at twice, so that the last answer has been written out.
+        if (gateway.open() == 0 && front.unsent() == 0) {
             loop.stop();
         } else {
-            loop.deadlines().add(now + LOOK_AGAIN, this::finish, gateway.open() == 0 ? 1 : 0);
+            loop.deadlines().add(now + LOOK_AGAIN, this::finish, 0);
         }
     }
 }
--- /dev/null
+++ b/src/main/java/calicostream/platform/WarmUp.java
@@ -0,0 +1,111 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.platform;
+
+import calicostream.QueryRouter;
+import calicostream.QueryRouter.EngineState;
+import calicostream.QueryRouter.Outcome;
+import calicostream.QueryRouter.Settings;
+import calicostream.core.Clock;
+import calicostream.core.Deadlines;
+import calicostream.core.Engines;
+import calicostream.core.Front;
+import calicostream.core.Gateway;
+import calicostream.core.Watcher;
+import calicostream.net.BadInput;
+import calicostream.net.Ring;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Base64;
+import java.util.List;
+
+/**
+ * Takes requests through parsers, core and module before the program listens, so that a front end which
+ * starts again in the middle of a day does not load its classes at its first clients' cost. It works on a
+ * core of its own, whose engine answers at once, and touches no socket.
+ */
+final class WarmUp implements Engines, Front {
+    private static final long LONGEST = 400_000; // us: a front end that is not up yet serves nobody
+    private static final int REQUESTS = 1500;
+    private static final long ENGINE = 1;
+    private static final String STATEMENT = "select a.name, count(*) from sales_17.orders a where a.note = 'x_1.y'";
+    private final Ring ring = new Ring(1 << 16);
+    private final Deadlines deadlines = new Deadlines();
+    private final Clock clock = new Clock();
+    private final Gateway gateway;
+    private final List<String> classNames;
+    private final ArrayDeque<Gateway.Attempt> out = new ArrayDeque<>();
+    private int answers;
+
+    WarmUp(Settings settings, List<String> classNames) {
+        this.classNames = classNames;
+        gateway = new Gateway(clock, deadlines, settings, Watcher.NONE);
+        gateway.start(this, List.of(new QueryRouter.Engine(ENGINE, 0, 0, 0, 0, EngineState.READY)));
+    }
+
+    /** The number of requests answered. */
+    int run() {
+        long end = clock.now() + LONGEST;
+        String content = Base64.getEncoder().encodeToString(STATEMENT.getBytes(StandardCharsets.UTF_8));
+        try {
+            for (int i = 1; i <= REQUESTS && clock.now() < end; i++) {
+                byte[] line = ("{\"jsonrpc\":\"2.0\",\"id\":" + i + ",\"method\":\"m\",\"params\":{\"i\":\""
+                        + String.format("%016x", i) + "\",\"d\":1500,\"content\":\"" + content + "\"}}")
+                        .getBytes(StandardCharsets.UTF_8);
+                request(JsonRpc.read(line), i % classNames.size());
+                deadlines.run(clock.now());
+            }
+        } catch (JsonRpc.NotJson | BadInput e) {
+            throw new IllegalStateException(e);
+        }
+        return answers;
+    }
+
+    private void request(JsonRpc message, int queryClass) throws BadInput {
+        byte[] body = Base64.getDecoder().decode(message.content);
+        gateway.accept(this, (long) message.id, message.requestId, queryClass, Statement.tableGroup(body),
+                (long) (message.wait * 1000), body);
+        for (Gateway.Attempt attempt = out.poll(); attempt != null; attempt = out.poll()) {
+            ring.put(Resp.array(Resp.ascii(attempt.request.id), Resp.ascii("DONE"),
+                    Resp.ascii("sheets=1,stats=util:0.2;inflight:1"), attempt.request.body));
+            byte[][] answer = Resp.take(ring);
+            gateway.ended(attempt, Outcome.OK, Fields.report(Fields.parse(new String(answer[2],
+                    StandardCharsets.ISO_8859_1)).get("stats")), answer[3]);
+        }
+    }
+
+    @Override
+    public void attach(Gateway to) { }
+
+    @Override
+    public void locate(long engine, InetSocketAddress address) { }
+
+    @Override
+    public void send(Gateway.Attempt attempt) {
+        out.add(attempt);
+    }
+
+    @Override
+    public void stop(Gateway.Attempt attempt) { }
+
+    @Override
+    public void priority(Gateway.Attempt attempt) { }
+
+    @Override
+    public void withdrawn(long engine) { }
+
+    @Override
+    public void served(long tag, byte[] result) {
+        answers += JsonRpc.result(tag, result).length > 0 ? 1 : 0;
+    }
+
+    @Override
+    public void refused(long tag, long retryAfterMs) {
+        answers++;
+    }
+
+    @Override
+    public void failed(long tag, Failure why) {
+        answers++;
+    }
+}
