--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 test:
 	mvn -B verify
 
-# Every warning of the compiler is an error here, but for what the libraries' own classes lack.
+# Every warning of the compiler is an error here.
 lint:
 	mvn -q -B clean compile -Dmaven.compiler.showWarnings=true -Dmaven.compiler.failOnWarning=true
 
--- a/src/main/java/calicostream/flight/FlightConfig.java
+++ b/src/main/java/calicostream/flight/FlightConfig.java
@@ -1,15 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 package calicostream.flight;
 
-import calicostream.SettingsException;
-import calicostream.net.BadInput;
+import calicostream.platform.ConfigFile;
 import calicostream.platform.Roster;
-import com.eclipsesource.json.Json;
-import com.eclipsesource.json.JsonObject;
-import com.eclipsesource.json.ParseException;
-import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
 import java.nio.file.Path;
 
 /**
@@ -22,19 +16,9 @@
 
     /** Null where there is no such file or it leaves Flight SQL off. */
     public static FlightConfig read(Path path) {
-        if (!Files.exists(path)) {
-            return null;
-        }
-        try {
-            JsonObject root = Json.parse(Files.readString(path)).asObject();
-            if (!root.getBoolean("enabled", false)) {
-                return null;
-            }
-            return new FlightConfig(Roster.address(root.getString("listen", "127.0.0.1:32010")),
-                    root.getString("engines", "flight").equals("flight"), root.getString("query_class", "lookup"),
-                    root.getString("update_class", "stat-load"), root.getInt("max_result_bytes", USUAL_RESULT));
-        } catch (IOException | BadInput | ParseException | UnsupportedOperationException | NumberFormatException e) {
-            throw new SettingsException("bad configuration: " + path + ": " + e.getMessage());
-        }
+        return ConfigFile.enabled(path, root -> new FlightConfig(
+                Roster.address(root.getString("listen", "127.0.0.1:32010")),
+                root.getString("engines", "flight").equals("flight"), root.getString("query_class", "lookup"),
+                root.getString("update_class", "stat-load"), root.getInt("max_result_bytes", USUAL_RESULT)));
     }
 }
--- a/src/main/java/calicostream/flight/FlightEngines.java
+++ b/src/main/java/calicostream/flight/FlightEngines.java
@@ -4,9 +4,9 @@
 import calicostream.QueryRouter.Outcome;
 import calicostream.QueryRouter.Report;
 import calicostream.SettingsParser;
-import calicostream.core.Engines;
 import calicostream.core.Gateway;
 import calicostream.grpc.Calls;
+import calicostream.grpc.ChannelEngines;
 import calicostream.grpc.Channels;
 import calicostream.net.Loop;
 import com.google.protobuf.Any;
@@ -41,35 +41,25 @@
  * stream's messages are kept as they come and passed on only once the engine has ended it without error.
  * Calls are asynchronous; gRPC's threads hand what they learn to the loop.
  */
-public final class FlightEngines implements Engines {
+public final class FlightEngines extends ChannelEngines {
     private static final int CONTINUES = 0xFFFFFFFF;
     private static final int SLACK = 1 << 20; // of a message over the bound that is held here
     private final Loop loop;
     private final List<String> classNames;
     private final int mostResultBytes;
-    private final Channels channels;
-    private Gateway gateway;
 
     public FlightEngines(Loop loop, SettingsParser settings, int mostResultBytes) {
+        super(new Channels(loop, settings.wiring(), address -> dial(address, settings.wiring(), mostResultBytes)));
         this.loop = loop;
         classNames = settings.classNames();
         this.mostResultBytes = mostResultBytes;
-        long idleUs = Math.max(1, settings.wiring().idleUs() * 7 / 10);
-        // Without gRPC's own retries: whether a statement goes out again is the module's to decide.
-        channels = new Channels(loop, settings.wiring(), address -> NettyChannelBuilder.forAddress(address)
-                .usePlaintext().disableRetry().directExecutor().maxInboundMessageSize(mostResultBytes + SLACK)
-                .idleTimeout(idleUs, TimeUnit.MICROSECONDS).build());
     }
 
-    @Override
-    public void attach(Gateway to) {
-        gateway = to;
-        channels.attach(to);
-    }
-
-    @Override
-    public void locate(long engine, InetSocketAddress address) {
-        channels.locate(engine, address);
+    /** Without gRPC's own retries: whether a statement goes out again is the module's to decide. */
+    private static ManagedChannel dial(InetSocketAddress address, SettingsParser.Wiring wiring, int mostResultBytes) {
+        return NettyChannelBuilder.forAddress(address).usePlaintext().disableRetry().directExecutor()
+                .maxInboundMessageSize(mostResultBytes + SLACK)
+                .idleTimeout(Math.max(1, wiring.idleUs() * 7 / 10), TimeUnit.MICROSECONDS).build();
     }
 
     @Override
@@ -80,22 +70,12 @@
     }
 
     @Override
-    public void stop(Gateway.Attempt attempt) {
-        if (!channels.takeBack(attempt) && attempt.link instanceof Call call) {
+    protected void cancel(Gateway.Attempt attempt) {
+        if (attempt.link instanceof Call call) {
             call.context.cancel(null);
         }
     }
 
-    @Override
-    public void priority(Gateway.Attempt attempt) {
-        // Flight SQL has no word for the priority of a statement that runs; the next attempt carries it.
-    }
-
-    @Override
-    public void withdrawn(long engine) {
-        channels.withdrawn(engine);
-    }
-
     /** One attempt. Its fields are used by gRPC's threads one after another; its end is told on the loop. */
     private final class Call {
         final Gateway.Attempt attempt;
--- a/src/main/java/calicostream/grpc/BalancingChannel.java
+++ b/src/main/java/calicostream/grpc/BalancingChannel.java
@@ -7,7 +7,6 @@
 import calicostream.SettingsParser;
 import calicostream.core.Clock;
 import calicostream.core.Deadlines;
-import calicostream.core.Engines;
 import calicostream.core.Front;
 import calicostream.core.Gateway;
 import calicostream.core.Watcher;
@@ -62,7 +61,7 @@
         channels = new Channels(loop, settings.wiring(), dial);
         // A plain gRPC service sends no notes of progress: silence there means nothing.
         gateway = new Gateway(clock, loop.deadlines(), settings.settings().withoutNotes(), watcher);
-        gateway.start(new Side(), List.of());
+        gateway.start(new Side(channels), List.of());
         thread = new Thread(this::run, "calicostream");
         thread.setDaemon(true);
         thread.start();
@@ -105,15 +104,9 @@
     }
 
     /** The engine side: replays a call's messages on the channel to the engine chosen. */
-    private final class Side implements Engines {
-        @Override
-        public void attach(Gateway to) {
-            channels.attach(to);
-        }
-
-        @Override
-        public void locate(long engine, InetSocketAddress address) {
-            channels.locate(engine, address);
+    private final class Side extends ChannelEngines {
+        Side(Channels channels) {
+            super(channels);
         }
 
         @Override
@@ -123,21 +116,11 @@
         }
 
         @Override
-        public void stop(Gateway.Attempt attempt) {
-            if (!channels.takeBack(attempt) && attempt.link instanceof ClientCall<?, ?> out) {
+        protected void cancel(Gateway.Attempt attempt) {
+            if (attempt.link instanceof ClientCall<?, ?> out) {
                 out.cancel("given up", null);
             }
         }
-
-        @Override
-        public void priority(Gateway.Attempt attempt) {
-            // gRPC has no word for the priority of a call that runs; the next attempt carries it.
-        }
-
-        @Override
-        public void withdrawn(long engine) {
-            channels.withdrawn(engine);
-        }
     }
 
     /** One call of the application's. */
--- a/src/main/java/calicostream/syslog/SyslogConfig.java
+++ b/src/main/java/calicostream/syslog/SyslogConfig.java
@@ -1,15 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 package calicostream.syslog;
 
-import calicostream.SettingsException;
-import calicostream.net.BadInput;
+import calicostream.platform.ConfigFile;
 import calicostream.platform.Roster;
-import com.eclipsesource.json.Json;
-import com.eclipsesource.json.JsonObject;
-import com.eclipsesource.json.ParseException;
-import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.file.Files;
 import java.nio.file.Path;
 
 /** The file that names the collector; {@code enterprise} is the number that the structured data's names bear. */
@@ -19,19 +13,8 @@
 
     /** Null where there is no such file or it leaves the records off. */
     public static SyslogConfig read(Path path) {
-        if (!Files.exists(path)) {
-            return null;
-        }
-        try {
-            JsonObject root = Json.parse(Files.readString(path)).asObject();
-            if (!root.getBoolean("enabled", false)) {
-                return null;
-            }
-            return new SyslogConfig(Roster.address(root.getString("collector", "")),
-                    root.getString("transport", "udp").equals("tcp"), root.getInt("facility", LOCAL0),
-                    root.getInt("enterprise", EXAMPLE));
-        } catch (IOException | BadInput | ParseException | UnsupportedOperationException | NumberFormatException e) {
-            throw new SettingsException("bad configuration: " + path + ": " + e.getMessage());
-        }
+        return ConfigFile.enabled(path, root -> new SyslogConfig(Roster.address(root.getString("collector", "")),
+                root.getString("transport", "udp").equals("tcp"), root.getInt("facility", LOCAL0),
+                root.getInt("enterprise", EXAMPLE)));
     }
 }
--- a/src/test/java/calicostream/wire/FlightStand.java
+++ b/src/test/java/calicostream/wire/FlightStand.java
@@ -10,12 +10,10 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.apache.arrow.flight.CallHeaders;
 import org.apache.arrow.flight.CallOption;
@@ -141,7 +139,7 @@
 
     /** An engine of its own gRPC server, so that it can die at once with all its streams. */
     private final class FlightEngine extends NoOpFlightSqlProducer implements Engine {
-        final BlockingQueue<Asked> asked = new LinkedBlockingQueue<>();
+        final Arrivals asked = new Arrivals();
         final Server server;
 
         FlightEngine() throws IOException {
@@ -168,16 +166,12 @@
 
         @Override
         public Asked next() throws InterruptedException {
-            Asked next = asked.poll(Program.PATIENCE_MS, TimeUnit.MILLISECONDS);
-            if (next == null) {
-                throw new AssertionError("nothing arrived at the engine");
-            }
-            return next;
+            return asked.next();
         }
 
         @Override
         public int waiting() {
-            return asked.size();
+            return asked.waiting();
         }
 
         @Override
@@ -290,9 +284,7 @@
 
         @Override
         public void awaitCancel() throws InterruptedException {
-            if (!cancelled.await(Program.PATIENCE_MS, TimeUnit.MILLISECONDS)) {
-                throw new AssertionError("the attempt was not given up");
-            }
+            Arrivals.awaitCancel(cancelled);
         }
     }
 }
--- a/src/test/java/calicostream/wire/PlatformStand.java
+++ b/src/test/java/calicostream/wire/PlatformStand.java
@@ -10,11 +10,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
 import java.util.Map;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -107,7 +105,7 @@
     /** Reads one connection and sorts what comes on it by attempt. */
     private static final class RespEngine implements Engine {
         final RespStand stand = new RespStand();
-        final BlockingQueue<Asked> asked = new LinkedBlockingQueue<>();
+        final Arrivals asked = new Arrivals();
         final Map<String, CountDownLatch> stops = new ConcurrentHashMap<>();
 
         RespEngine() throws IOException {
@@ -131,16 +129,12 @@
 
         @Override
         public Asked next() throws InterruptedException {
-            Asked next = asked.poll(Program.PATIENCE_MS, TimeUnit.MILLISECONDS);
-            if (next == null) {
-                throw new AssertionError("nothing arrived at the engine");
-            }
-            return next;
+            return asked.next();
         }
 
         @Override
         public int waiting() {
-            return asked.size();
+            return asked.waiting();
         }
 
         @Override
