--- a/src/main/java/calicostream/platform/JsonRpcFront.java
+++ b/src/main/java/calicostream/platform/JsonRpcFront.java
@@ -25,8 +25,8 @@
 /** The platform's clients: JSON-RPC 2.0, one message a line. */
 final class JsonRpcFront implements Front {
     private static final Logger LOG = LoggerFactory.getLogger(JsonRpcFront.class);
-    private static final int BOUND_IN = 256 * 1024;
-    private static final int BOUND_OUT = 512 * 1024;
+    private static final int BOUND_IN = 128 * 1024;
+    private static final int BOUND_OUT = 128 * 1024;
     private static final int MOST_OPEN = 32;
     private static final double LONGEST_WAIT_MS = 3_600_000;
     private final Loop loop;
