Spare resting and silent clients at the cap on connections instead of shutting new ones out

Checked: 1872 connections asked once and stayed, and 102 is sockets * 2/5: Listener.accept stopped at `open < most` and took up again only when a client left, which these never do. At fault: Listener.accept, and JsonRpcFront, which never closed a connection that had nothing open.

Now a full listener asks for one to be spared: one that says nothing, then the longest at rest. Silence and half lines end within 3 s, rest after 8 s. Beside it: rings give their memory back when empty, one client's lines are taken eight a turn, a channel that fails is closed rather than left to spin, OutOfMemoryError included, a last answer is not lost to a reset, and SLF4J no longer opens all jars (some 50 descriptors).

--- a/src/main/java/calicostream/Main.java
+++ b/src/main/java/calicostream/Main.java
@@ -31,6 +31,9 @@
     }
 
     private static void serve() throws IOException {
+        // Looking for a provider of logs opens every jar of the class path, and each stays open for good.
+        System.setProperty("slf4j.provider", "org.slf4j.simple.SimpleServiceProvider");
+        System.setProperty("slf4j.internal.verbosity", "WARN");
         try {
             String path = System.getenv("NODE_CONFIG");
             if (path == null) {
--- a/src/main/java/calicostream/net/Connection.java
+++ b/src/main/java/calicostream/net/Connection.java
@@ -9,6 +9,8 @@
 
 /** One TCP connection with a bounded ring a direction; its handler is told what happens on it. */
 public final class Connection implements Loop.Ready {
+    private static final long LINGER = 1_000_000; // us for the other side to read the last answer and close
+
     /** What a connection's owner is told. {@link #closed} comes once, also after {@link Connection#close}. */
     public interface Handler {
         default void connected(Connection connection) { }
@@ -29,7 +31,7 @@
     private final Ring out;
     private SelectionKey key;
     private boolean connecting, closed, paused, flushing;
-    private boolean closeWhenFlushed;
+    private boolean closeWhenFlushed, lingering;
 
     private Connection(Loop loop, SocketChannel channel, Handler handler, int boundIn, int boundOut) {
         this.loop = loop;
@@ -92,9 +94,14 @@
         return true;
     }
 
+    /** Goes on with what is in the ring once every other channel has had its turn. */
+    public void again() {
+        loop.nextTurn(() -> handle(in.size() > 0));
+    }
+
     /** Back-pressure: stops or resumes reading. */
     public void pause(boolean on) {
-        if (paused != on) {
+        if (paused != on && (on || !closeWhenFlushed)) {
             paused = on;
             interest();
             if (!on) {
@@ -103,11 +110,22 @@
         }
     }
 
-    /** Sends what is queued, then closes; takes no more input. */
+    /**
+     * Sends what is queued, then closes; takes no more input. What still comes is read and dropped for a
+     * while: closing on unread bytes would reset the connection, and the last answer with it.
+     */
     public void finish() {
-        closeWhenFlushed = true;
-        pause(true);
-        loop.soon(this::flush);
+        if (!closeWhenFlushed && !closed) {
+            closeWhenFlushed = true;
+            pause(true);
+            loop.deadlines().add(loop.clock().now() + LINGER, (now, ref) -> close(), 0);
+            loop.soon(this::flush);
+        }
+    }
+
+    /** Whether it only waits for the other side to see its end. */
+    public boolean isFinishing() {
+        return closeWhenFlushed;
     }
 
     public void close() {
@@ -138,7 +156,13 @@
                 flush();
             }
             if (!closed && key.isReadable()) {
-                int count = in.fill(channel);
+                if (lingering) {
+                    if (channel.read(loop.through().clear()) < 0) {
+                        close();
+                    }
+                    return;
+                }
+                int count = in.fill(channel, loop.through());
                 handle(count > 0);
                 if (count < 0) {
                     close();
@@ -149,6 +173,11 @@
         }
     }
 
+    @Override
+    public void broken() {
+        close();
+    }
+
     private void handle(boolean any) {
         if (any && !closed && !paused) {
             handler.received(this);
@@ -163,13 +192,16 @@
         }
         try {
             int before = out.size();
-            out.drain(channel);
-            interest();
-            if (out.size() == 0 && closeWhenFlushed) {
-                close();
-            } else if (out.size() < before) {
+            out.drain(channel, loop.through());
+            if (out.size() < before) {
                 handler.drained(this);
             }
+            if (out.size() == 0 && closeWhenFlushed && !lingering && !closed) {
+                lingering = true;
+                in.skip(in.size());
+                channel.shutdownOutput();
+            }
+            interest();
         } catch (IOException e) {
             close();
         }
@@ -177,7 +209,7 @@
 
     private void interest() {
         if (!closed && !connecting && key != null && key.isValid()) {
-            int wanted = (paused || in.room() == 0 ? 0 : SelectionKey.OP_READ)
+            int wanted = (paused && !lingering || in.room() == 0 ? 0 : SelectionKey.OP_READ)
                     | (out.size() > 0 ? SelectionKey.OP_WRITE : 0);
             if (key.interestOps() != wanted) {
                 key.interestOps(wanted);
--- a/src/main/java/calicostream/net/Listener.java
+++ b/src/main/java/calicostream/net/Listener.java
@@ -7,30 +7,38 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
-import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /** Accepts connections on one address, up to a number open at once. */
-public final class Listener {
+public final class Listener implements Loop.Ready {
+    /** Who takes the connections. */
+    public interface Taker {
+        void accepted(SocketChannel channel) throws IOException;
+
+        /** All that may be open are: ends one that can be spared, or says that there is none. */
+        boolean spareOne();
+    }
+
     private static final Logger LOG = LoggerFactory.getLogger(Listener.class);
     private static final int BACKLOG = 512;
+    private static final int A_TURN = 64; // connections taken before the open ones have a turn
     private static final long PAUSE = 20_000;
     private final Loop loop;
     private final ServerSocketChannel channel;
     private final SelectionKey key;
     private final int most;
-    private final Consumer<SocketChannel> accepted;
+    private final Taker taker;
     private int open;
 
-    public Listener(Loop loop, InetSocketAddress at, int most, Consumer<SocketChannel> accepted) throws IOException {
+    public Listener(Loop loop, InetSocketAddress at, int most, Taker taker) throws IOException {
         this.loop = loop;
         this.most = most;
-        this.accepted = accepted;
+        this.taker = taker;
         channel = ServerSocketChannel.open();
         channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
         channel.bind(at, BACKLOG);
-        key = loop.register(channel, SelectionKey.OP_ACCEPT, this::accept);
+        key = loop.register(channel, SelectionKey.OP_ACCEPT, this);
     }
 
     public int port() throws IOException {
@@ -40,7 +48,11 @@
     /** A connection that this listener accepted has ended. */
     public void released() {
         open--;
-        if (key.isValid()) {
+        resume();
+    }
+
+    private void resume() {
+        if (key.isValid() && key.interestOps() == 0) {
             key.interestOps(SelectionKey.OP_ACCEPT);
         }
     }
@@ -49,26 +61,43 @@
         channel.close();
     }
 
-    private void accept() {
+    @Override
+    public void ready() {
         try {
-            while (open < most) {
+            for (int i = 0; i < A_TURN; i++) {
+                if (open >= most && !taker.spareOne()) {
+                    broken(); // Full: more wait in the backlog for a while.
+                    return;
+                }
                 SocketChannel next = channel.accept();
                 if (next == null) {
                     return;
                 }
                 open++;
-                next.setOption(StandardSocketOptions.TCP_NODELAY, true);
-                accepted.accept(next);
+                take(next);
             }
-            key.interestOps(0); // Full: more wait in the backlog until one is released.
         } catch (IOException e) { // Out of descriptors, most likely: a spinning acceptor would help nobody.
             LOG.warn("accept: {}", e.toString());
+            broken();
+        }
+    }
+
+    private void take(SocketChannel next) throws IOException {
+        try {
+            next.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            taker.accepted(next);
+        } catch (IOException e) { // Gone before it was taken; the listener has no fault in it.
+            open--;
+            next.close();
+        }
+    }
+
+    /** Rests for a moment. */
+    @Override
+    public void broken() {
+        if (key.isValid() && key.interestOps() != 0) {
             key.interestOps(0);
-            loop.deadlines().add(loop.clock().now() + PAUSE, (now, ref) -> {
-                if (key.isValid()) {
-                    key.interestOps(SelectionKey.OP_ACCEPT);
-                }
-            }, 0);
+            loop.deadlines().add(loop.clock().now() + PAUSE, (now, ref) -> resume(), 0);
         }
     }
 }
--- a/src/main/java/calicostream/net/Loop.java
+++ b/src/main/java/calicostream/net/Loop.java
@@ -4,10 +4,13 @@
 import calicostream.core.Clock;
 import calicostream.core.Deadlines;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -15,17 +18,23 @@
 /** The one thread that owns all state: sockets, deadlines, and what other threads hand over. */
 public final class Loop {
     private static final Logger LOG = LoggerFactory.getLogger(Loop.class);
+    private static final int THROUGH = 32 * 1024; // bytes that pass in one go: also the most read in one turn
 
     /** What a selection key's attachment does when its channel is ready. */
     interface Ready {
         void ready() throws IOException;
+
+        /** It could not go on: what it was doing is given up, so that it does not spin. */
+        void broken();
     }
 
     private final Clock clock;
     private final Deadlines deadlines;
     private final Selector selector;
+    private final ByteBuffer through = ByteBuffer.allocateDirect(THROUGH);
     private final ConcurrentLinkedQueue<Runnable> posted = new ConcurrentLinkedQueue<>();
     private final ArrayDeque<Runnable> soon = new ArrayDeque<>();
+    private List<Runnable> nextTurn = new ArrayList<>();
     private boolean stopped;
 
     public Loop(Clock clock, Deadlines deadlines) throws IOException {
@@ -42,6 +51,11 @@
         return deadlines;
     }
 
+    /** The buffer through which bytes pass between rings and channels; empty outside of one such call. */
+    ByteBuffer through() {
+        return through;
+    }
+
     /** From any thread: runs on the loop's thread. */
     public void post(Runnable work) {
         posted.add(work);
@@ -53,6 +67,11 @@
         soon.add(work);
     }
 
+    /** From the loop's thread: runs once every other channel has had its turn. */
+    public void nextTurn(Runnable work) {
+        nextTurn.add(work);
+    }
+
     public void stop() {
         stopped = true;
     }
@@ -66,17 +85,20 @@
     public void run() throws IOException {
         while (!stopped) {
             long wait = deadlines.next() - clock.now();
-            if (!posted.isEmpty() || wait <= 0) {
+            if (!posted.isEmpty() || !nextTurn.isEmpty() || wait <= 0) {
                 selector.selectNow();
             } else {
                 selector.select(wait == Deadlines.NEVER ? 0 : Math.max(1, Math.min(wait / 1000, 1000)));
             }
             for (SelectionKey key : selector.selectedKeys()) {
                 if (key.isValid()) {
-                    guarded(() -> ready(key));
+                    ready((Ready) key.attachment());
                 }
             }
             selector.selectedKeys().clear();
+            List<Runnable> turn = nextTurn;
+            nextTurn = new ArrayList<>();
+            turn.forEach(Loop::guarded);
             for (Runnable work = posted.poll(); work != null; work = posted.poll()) {
                 guarded(work);
             }
@@ -88,19 +110,28 @@
         selector.close();
     }
 
-    private static void ready(SelectionKey key) {
+    private static void ready(Ready channel) {
         try {
-            ((Ready) key.attachment()).ready();
+            channel.ready();
         } catch (IOException e) {
             LOG.warn("channel: {}", e.toString());
+            guarded(channel::broken);
+        } catch (RuntimeException | OutOfMemoryError e) {
+            guarded(() -> LOG.error("unexpected", e));
+            guarded(channel::broken);
         }
     }
 
+    /** Memory may run short for one piece of work; the others must not end with it. */
     private static void guarded(Runnable work) {
         try {
             work.run();
-        } catch (RuntimeException e) {
-            LOG.error("unexpected", e);
+        } catch (RuntimeException | OutOfMemoryError e) {
+            try {
+                LOG.error("unexpected", e);
+            } catch (OutOfMemoryError again) {
+                // Not even the line could be written; the next piece of work may fare better.
+            }
         }
     }
 }
--- a/src/main/java/calicostream/net/Ring.java
+++ b/src/main/java/calicostream/net/Ring.java
@@ -8,17 +8,18 @@
 
 /**
  * The bytes of one direction of a connection: a ring that grows by doubling up to a bound, past which it
- * takes no more. It starts small, since hundreds of connections are open and few of them carry much.
+ * takes no more. It has memory only while it holds bytes, since hundreds of connections are open and most of
+ * them rest. Bytes pass between it and a channel through the loop's one direct buffer.
  */
 public final class Ring {
-    private static final int FIRST = 2048;
+    private static final int FIRST = 512;
+    private static final byte[] NONE = {};
     private final int bound;
-    private byte[] bytes = new byte[FIRST];
-    private ByteBuffer view = ByteBuffer.wrap(bytes);
+    private byte[] bytes = NONE;
     private int head;
     private int size;
 
-    /** The bound is a power of two. */
+    /** The bound is a power of two of at least 512. */
     public Ring(int bound) {
         this.bound = bound;
     }
@@ -31,6 +32,11 @@
         return bound - size;
     }
 
+    /** Bytes of memory that it takes now. */
+    public int held() {
+        return bytes.length;
+    }
+
     public byte at(int i) {
         return bytes[head + i & bytes.length - 1];
     }
@@ -47,16 +53,19 @@
 
     public byte[] copy(int from, int length) {
         byte[] out = new byte[length];
-        int start = head + from & bytes.length - 1;
-        int first = Math.min(length, bytes.length - start);
-        System.arraycopy(bytes, start, out, 0, first);
-        System.arraycopy(bytes, 0, out, first, length - first);
+        if (length > 0) {
+            int start = head + from & bytes.length - 1;
+            int first = Math.min(length, bytes.length - start);
+            System.arraycopy(bytes, start, out, 0, first);
+            System.arraycopy(bytes, 0, out, first, length - first);
+        }
         return out;
     }
 
     public void skip(int count) {
         size -= count;
         head = size == 0 ? 0 : head + count & bytes.length - 1;
+        bytes = size == 0 ? NONE : bytes;
     }
 
     /** Takes all of it or, where the bound leaves no room, nothing. */
@@ -64,59 +73,50 @@
         if (from.length > room()) {
             return false;
         }
-        while (from.length > bytes.length - size) {
-            grow();
-        }
-        int tail = head + size & bytes.length - 1;
-        int first = Math.min(from.length, bytes.length - tail);
-        System.arraycopy(from, 0, bytes, tail, first);
-        System.arraycopy(from, first, bytes, 0, from.length - first);
-        size += from.length;
+        append(ByteBuffer.wrap(from));
         return true;
     }
 
-    /** Reads what there is and fits; the count, or -1 at the end of the stream. */
-    int fill(ReadableByteChannel from) throws IOException {
-        int total = 0;
-        while (room() > 0) {
-            if (size == bytes.length) {
-                grow();
-            }
-            int tail = head + size & bytes.length - 1;
-            int end = tail < head ? head : bytes.length;
-            int count = from.read(view.limit(end).position(tail));
-            if (count <= 0) {
-                return total > 0 ? total : count;
-            }
-            size += count;
-            total += count;
-            if (count < end - tail) {
-                return total;
-            }
+    private void append(ByteBuffer from) {
+        int count = from.remaining();
+        if (count == 0) {
+            return;
         }
-        return total;
+        if (count > bytes.length - size) {
+            grow(size + count);
+        }
+        int tail = head + size & bytes.length - 1;
+        int first = Math.min(count, bytes.length - tail);
+        from.get(bytes, tail, first).get(bytes, 0, count - first);
+        size += count;
+    }
+
+    /** Reads once what there is and fits; the count, or -1 at the end of the stream. */
+    int fill(ReadableByteChannel from, ByteBuffer through) throws IOException {
+        int count = from.read(through.clear().limit(Math.min(room(), through.capacity())));
+        append(through.flip());
+        return count;
     }
 
     /** Writes as much as the channel takes. */
-    int drain(WritableByteChannel to) throws IOException {
+    int drain(WritableByteChannel to, ByteBuffer through) throws IOException {
         int total = 0;
         while (size > 0) {
-            int end = Math.min(head + size, bytes.length);
-            int count = to.write(view.limit(end).position(head));
+            int part = Math.min(Math.min(size, bytes.length - head), through.capacity());
+            int count = to.write(through.clear().put(bytes, head, part).flip());
             skip(count);
             total += count;
-            if (count == 0) {
+            if (count < part) {
                 break;
             }
         }
         return total;
     }
 
-    private void grow() {
-        byte[] larger = new byte[bytes.length * 2];
+    private void grow(int wanted) {
+        byte[] larger = new byte[Math.max(FIRST, Integer.highestOneBit(wanted - 1) * 2)];
         System.arraycopy(copy(0, size), 0, larger, 0, size);
         bytes = larger;
-        view = ByteBuffer.wrap(bytes);
         head = 0;
     }
 }
--- /dev/null
+++ b/src/main/java/calicostream/platform/Descriptors.java
@@ -0,0 +1,24 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.platform;
+
+import java.io.File;
+
+/** How the descriptors of the process are shared out, so that neither side can take them all. */
+record Descriptors(int clients, int engines) {
+    private static final int UNTOLD = 64; // the process's own, where the system does not list them
+    private static final int SPARE = 12; // the log and its successor, files read anew, sockets being closed
+
+    /**
+     * Usual clients hold a third of the limit at most. They get two fifths, so that others can be told
+     * goodbye; engines get what the process itself leaves of the rest.
+     */
+    static Descriptors of(int limit) {
+        String[] open = new File("/proc/self/fd").list();
+        return of(limit, open == null ? UNTOLD : open.length);
+    }
+
+    static Descriptors of(int limit, int own) {
+        int clients = Math.max(4, Math.min(limit * 2 / 5, limit - own - SPARE - 4));
+        return new Descriptors(clients, Math.max(4, limit - own - SPARE - clients));
+    }
+}
--- a/src/main/java/calicostream/platform/JsonRpcFront.java
+++ b/src/main/java/calicostream/platform/JsonRpcFront.java
@@ -13,21 +13,25 @@
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
 import java.util.Base64;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.UnaryOperator;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** The platform's clients: JSON-RPC 2.0, one message a line. */
-final class JsonRpcFront implements Front {
-    private static final Logger LOG = LoggerFactory.getLogger(JsonRpcFront.class);
+final class JsonRpcFront implements Front, Listener.Taker {
     private static final int BOUND_IN = 128 * 1024;
     private static final int BOUND_OUT = 128 * 1024;
     private static final int MOST_OPEN = 32;
+    private static final int LINES_A_TURN = 8; // of one client, before the others have their turn
+    private static final long HALF_LINE = 2_000_000; // us in which a client must have sent a whole line
+    private static final long REST = 8_000_000; // us without a request: usual clients close after half of it
+    private static final long SAYS_SOON = 250_000; // us after which a client that connects has its reason to
+    private static final long HEARD = 20_000; // us in which what a client sent has surely been read
+    private static final long LOOK = 200_000; // us between looks for clients that stalled or rest
     private static final double LONGEST_WAIT_MS = 3_600_000;
     private final Loop loop;
     private final Gateway gateway;
@@ -61,7 +65,8 @@
     }
 
     void listen(InetSocketAddress at, int mostClients) throws IOException {
-        listener = new Listener(loop, at, mostClients, this::accepted);
+        listener = new Listener(loop, at, mostClients, this);
+        look(loop.clock().now(), 0);
     }
 
     int port() throws IOException {
@@ -77,13 +82,28 @@
         listener.close();
     }
 
-    private void accepted(SocketChannel channel) {
-        try {
-            new Client(channel);
-        } catch (IOException e) {
-            LOG.warn("client: {}", e.toString());
-            listener.released();
+    @Override
+    public void accepted(SocketChannel channel) throws IOException {
+        new Client(channel);
+    }
+
+    /** Some clients ask once and stay, others connect and say nothing: neither may keep the rest out. */
+    @Override
+    public boolean spareOne() {
+        long now = loop.clock().now();
+        Client least = clients.stream().filter(c -> c.need(now) < Client.NEEDED)
+                .min(Comparator.comparingInt((Client c) -> c.need(now)).thenComparingLong(c -> c.restsSince)).orElse(null);
+        if (least != null) {
+            least.connection.close();
         }
+        return least != null;
+    }
+
+    private void look(long now, long ref) {
+        for (Client each : List.copyOf(clients)) {
+            each.look(now);
+        }
+        loop.deadlines().add(now + LOOK, this::look, 0);
     }
 
     // ---- Answers from the core ---------------------------------------------------------------------------
@@ -113,22 +133,34 @@
             openIds.remove(p.requestId);
             p.client.open.remove(p.id);
             p.client.write(wording.of(p));
+            p.client.rests();
         }
     }
 
     /** One client's connection. */
     private final class Client implements Connection.Handler {
+        static final int NEEDED = 3;
         final Connection connection;
         final Map<Long, Long> open = new HashMap<>();
         final ArrayDeque<byte[]> waiting = new ArrayDeque<>();
         long lastId;
+        long restsSince = loop.clock().now();
+        long lineSince;
         int scanned;
+        boolean asked;
 
         Client(SocketChannel channel) throws IOException {
             connection = Connection.accepted(loop, channel, this, BOUND_IN, BOUND_OUT);
             clients.add(this);
         }
 
+        /** How much it would be missed: least one that keeps silent, then one that rests, then a new one. */
+        int need(long now) {
+            boolean busy = !open.isEmpty() || !waiting.isEmpty() || connection.unsent() > 0;
+            long rested = now - restsSince;
+            return busy || rested < HEARD ? NEEDED : asked ? 1 : rested > SAYS_SOON ? 0 : 2;
+        }
+
         /** A client that does not read gets no more read from it until its answers have gone. */
         void write(byte[] answer) {
             if (!waiting.isEmpty() || !connection.write(answer)) {
@@ -147,19 +179,52 @@
             }
         }
 
+        /** Takes a few whole lines; the rest waits until the other connections have had their turn. */
         @Override
         public void received(Connection c) {
             Ring in = c.in();
-            int end = in.indexOf((byte) '\n', scanned);
-            for (; end >= 0 && !c.isClosed(); end = in.indexOf((byte) '\n', 0)) {
+            lineSince = scanned == 0 ? loop.clock().now() : lineSince;
+            for (int i = 0; i < LINES_A_TURN && waiting.isEmpty() && !c.isClosed() && !c.isFinishing(); i++) {
+                int end = in.indexOf((byte) '\n', scanned);
+                scanned = end < 0 ? in.size() : 0;
+                if (end < 0) {
+                    break;
+                }
                 byte[] line = in.copy(0, end);
                 in.skip(end + 1);
+                lineSince = loop.clock().now();
                 line(line);
             }
-            scanned = in.size();
-            if (in.room() == 0) {
-                write(JsonRpc.error("null", JsonRpc.INVALID_REQUEST, "the line is too long"));
-                c.finish();
+            if (scanned < in.size()) {
+                c.again();
+            } else if (in.room() == 0) {
+                end("the line is too long");
+            }
+            rests();
+        }
+
+        private void end(String why) {
+            write(JsonRpc.error("null", JsonRpc.INVALID_REQUEST, why));
+            connection.finish();
+        }
+
+        /** From now on, unless a request is open; one that has asked nothing rests since it came. */
+        void rests() {
+            if (open.isEmpty() && asked) {
+                restsSince = loop.clock().now();
+            }
+        }
+
+        /** Who stops half-way or says nothing is told so in time; who has had its answer need not stay. */
+        void look(long now) {
+            boolean half = connection.in().size() > 0 && scanned == connection.in().size();
+            if (connection.isFinishing() || !open.isEmpty() || !waiting.isEmpty()) {
+                return;
+            }
+            if (half && now - (asked ? lineSince : restsSince) > HALF_LINE) {
+                end("the line did not end in time");
+            } else if (connection.in().size() == 0 && now - restsSince > (asked ? REST : HALF_LINE)) {
+                connection.close();
             }
         }
 
@@ -180,6 +245,7 @@
             if (line.length == 0 || line.length == 1 && line[0] == '\r') {
                 return;
             }
+            asked = true;
             JsonRpc message;
             try {
                 message = JsonRpc.read(line);
--- a/src/main/java/calicostream/platform/Node.java
+++ b/src/main/java/calicostream/platform/Node.java
@@ -60,9 +60,8 @@
 
     /** Serves until SIGTERM and what was taken by then is answered. */
     public void run() throws IOException {
-        // Clients hold a third of the descriptors at most; engines, the log and the JVM's files have the rest.
         int warmed = new WarmUp(config.settings().settings(), config.settings().classNames()).run();
-        front.listen(config.listen(), config.sockets() * 2 / 5);
+        front.listen(config.listen(), Descriptors.of(config.sockets()).clients());
         Runtime.getRuntime().addShutdownHook(new Thread(this::terminate, "terminate"));
         LOG.info("{}, warmed up by {} requests, listens on port {}", config.name(), warmed, front.port());
         if (flight != null) {
--- a/src/test/java/calicostream/platform/RespTest.java
+++ b/src/test/java/calicostream/platform/RespTest.java
@@ -52,6 +52,16 @@
         assertEquals("x".repeat(4000), new String(ring.copy(10, 4000), StandardCharsets.ISO_8859_1));
     }
 
+    @Test
+    void aRingTakesMemoryOnlyWhileItHoldsBytes() {
+        Ring ring = new Ring(1 << 17);
+        assertEquals(0, ring.held());
+        assertTrue(ring.put(new byte[70_000]));
+        assertTrue(ring.held() >= 70_000 && ring.held() <= 1 << 17);
+        ring.skip(70_000);
+        assertEquals(0, ring.held());
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"+OK\r\n", "*x\r\n", "*9\r\n", "*1\r\n:5\r\n", "*1\r\n$3\r\nabcde\r\n", "*1\n$1\r\na\r\n",
         "*1\r\n$9999999\r\n", "*-1\r\n", "*0000000000000001", "*1\r\n$\r\n"})
--- a/src/test/java/calicostream/wire/Exchange.java
+++ b/src/test/java/calicostream/wire/Exchange.java
@@ -23,7 +23,7 @@
 /**
  * Plays a recorded exchange against the started program. A line is a party, a sign and bytes: '>' is sent by
  * the party, '<' is what the party must receive next, '!' is a word on it. Parties: c1, c2 ... clients (lines),
- * e1, e2 ... engines (commands with '|' between their parts), log (events), program. In bytes, b64(...) is
+ * crowd (many clients), e1, e2 ... engines (commands with '|' between their parts), log (events), program. In bytes, b64(...) is
  * base64 and \n, \r, \t, \0 are what they usually are; in what is expected, * stands for any bytes, and in
  * events @e1 for an engine's address and @@ for the time in Unix milliseconds.
  */
@@ -31,8 +31,10 @@
     private final Map<String, Socket> clients = new HashMap<>();
     private final Map<String, BufferedReader> readers = new HashMap<>();
     private final Map<String, RespStand> engines = new HashMap<>();
+    private final List<Socket> crowd = new ArrayList<>();
     private final ChangeLogStand log = new ChangeLogStand();
     private final Path folder;
+    private int sockets = 1024;
     private Program program;
     private int port;
 
@@ -72,6 +74,8 @@
             program(text);
         } else if (party.equals("log")) {
             log(sign, text);
+        } else if (party.equals("crowd")) {
+            crowd(text.split(" "));
         } else if (party.startsWith("e")) {
             engine(party, sign, text);
         } else {
@@ -81,7 +85,9 @@
 
     private void program(String word) throws IOException {
         try {
-            if (word.startsWith("start")) {
+            if (word.startsWith("sockets ")) {
+                sockets = Integer.parseInt(word.substring(8));
+            } else if (word.startsWith("start")) {
                 List<String> known = new ArrayList<>();
                 for (String name : word.substring(5).trim().split(" ")) {
                     if (!name.isEmpty()) {
@@ -89,7 +95,7 @@
                         known.add(Program.endpoint(name, engines.get(name).address(), "Ready", 0));
                     }
                 }
-                program = new Program(folder, log.port(), known);
+                program = new Program(folder, log.port(), known, sockets);
                 assertEquals("1", log.follow());
                 port = program.port("listens on port");
             } else if (word.equals("term")) {
@@ -104,6 +110,30 @@
         }
     }
 
+    /** "ask N": so many clients that ask once, have their answer and stay; "silent N"; "ended": none of these stays. */
+    private void crowd(String[] words) throws IOException {
+        if (words[0].equals("ended")) {
+            for (Socket each : crowd) {
+                assertEquals(-1, each.getInputStream().read());
+            }
+            return;
+        }
+        for (int i = 0; i < Integer.parseInt(words[1]); i++) {
+            if (words[0].equals("silent")) {
+                crowd.add(socket());
+            } else {
+                step("stays" + i, '>', "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"check\"}");
+                step("stays" + i, '<', "{\"jsonrpc\":\"2.0\",\"id\":1,\"result\":{\"pass\":true}}");
+            }
+        }
+    }
+
+    private Socket socket() throws IOException {
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+        socket.setSoTimeout((int) Program.PATIENCE_MS);
+        return socket;
+    }
+
     private void log(char sign, String text) throws IOException {
         if (sign == '<') {
             assertEquals(text, log.follow());
@@ -143,8 +173,7 @@
 
     private void client(String name, char sign, String text) throws IOException {
         if (!clients.containsKey(name)) {
-            Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
-            socket.setSoTimeout((int) Program.PATIENCE_MS);
+            Socket socket = socket();
             clients.put(name, socket);
             readers.put(name, new BufferedReader(new InputStreamReader(socket.getInputStream(),
                     StandardCharsets.UTF_8)));
@@ -161,8 +190,10 @@
         } else if (text.equals("ended")) {
             assertEquals(null, readers.get(name).readLine());
         } else {
-            assertEquals("close", text);
-            clients.remove(name).close();
+            assertTrue(text.equals("close") || text.equals("connect"), text);
+            if (text.equals("close")) {
+                clients.remove(name).close();
+            }
         }
     }
 
@@ -191,7 +222,8 @@
         for (RespStand engine : engines.values()) {
             engine.close();
         }
-        for (Socket client : clients.values()) {
+        crowd.addAll(clients.values());
+        for (Socket client : crowd) {
             client.close();
         }
     }
--- a/src/test/java/calicostream/wire/Program.java
+++ b/src/test/java/calicostream/wire/Program.java
@@ -35,10 +35,13 @@
 
     /** Engines as change-log entries; extra files go beside each other as the deploy folder. */
     public Program(Path folder, int changelogPort, List<String> endpoints, String... deployFiles) throws IOException {
-        String json = ("{'name':'n1','listen':'127.0.0.1:0','seed':'8c1f30d27a5be964','limits':{'sockets':1024},"
-                + "'changelog':'127.0.0.1:" + changelogPort + "','known':{'seq':1,'results':["
-                + event(1, true, endpoints) + "]},'settings':" + SETTINGS + "}").replace('\'', '"');
-        Path config = Files.writeString(folder.resolve("config.json"), json);
+        this(folder, changelogPort, endpoints, 1024, deployFiles);
+    }
+
+    /** The same with a limit on descriptors, which the program heeds by itself. */
+    public Program(Path folder, int changelogPort, List<String> endpoints, int sockets, String... deployFiles)
+            throws IOException {
+        Path config = configure(folder, changelogPort, endpoints, sockets);
         for (int i = 0; i < deployFiles.length; i += 2) {
             Files.writeString(folder.resolve(deployFiles[i]), deployFiles[i + 1]);
         }
@@ -46,6 +49,15 @@
         log = process.inputReader(StandardCharsets.UTF_8);
     }
 
+    /** Writes the configuration file, also in place of an earlier one. */
+    public static Path configure(Path folder, int changelogPort, List<String> endpoints, int sockets)
+            throws IOException {
+        String json = ("{'name':'n1','listen':'127.0.0.1:0','seed':'8c1f30d27a5be964','limits':{'sockets':" + sockets
+                + "},'changelog':'127.0.0.1:" + changelogPort + "','known':{'seq':1,'results':["
+                + event(1, true, endpoints) + "]},'settings':" + SETTINGS + "}").replace('\'', '"');
+        return Files.writeString(folder.resolve("config.json"), json);
+    }
+
     /** Starts the program on any configuration file. */
     public static Process launch(Path folder, Path config) throws IOException {
         List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java")
