Take SIGHUP from the start and follow the change log to its new address at once

Checked beside it: a stop of the log was noticed after 3.0 to 3.5 s, plus a pause, of the 4 s in which its events count as told; a parse fault other than ParseException went past the handler. At fault: Main (no handler), ChangeLog.SILENT, ChangeLog.closed (50 ms pause, one parser for all connections), Roster.parse, and Roster.starts, which kept every engine ever named.

Now Hangup takes the signal from the program's first moment, Node.reload reads the file and ChangeLog.move asks at the new address from the last event seen; a file that can't be used is logged and changes nothing. Each connection has an EventStream of its own, so half an event goes with it; silence is noticed within 2.2 s, and a break asked again at once.

--- a/src/main/java/calicostream/Main.java
+++ b/src/main/java/calicostream/Main.java
@@ -31,6 +31,7 @@
     }
 
     private static void serve() throws IOException {
+        Hangup hangup = Hangup.taken();
         // Looking for a provider of logs opens every jar of the class path, and each stays open for good.
         System.setProperty("slf4j.provider", "org.slf4j.simple.SimpleServiceProvider");
         System.setProperty("slf4j.internal.verbosity", "WARN");
@@ -40,8 +41,10 @@
                 throw new SettingsException("bad configuration: NODE_CONFIG is not set");
             }
             Path deploy = Path.of(System.getProperty("calicostream.deploy", "deploy"));
-            new Node(NodeConfig.read(Path.of(path)), FlightConfig.read(deploy.resolve("flight.json")),
-                    SyslogConfig.read(deploy.resolve("syslog.json"))).run();
+            Node node = new Node(NodeConfig.read(Path.of(path)), FlightConfig.read(deploy.resolve("flight.json")),
+                    SyslogConfig.read(deploy.resolve("syslog.json")));
+            hangup.tell(() -> node.reload(Path.of(path)));
+            node.run();
         } catch (SettingsException e) {
             System.err.println("calicostream: " + e.getMessage());
             System.exit(UNUSABLE);
--- a/src/main/java/calicostream/platform/ChangeLog.java
+++ b/src/main/java/calicostream/platform/ChangeLog.java
@@ -4,35 +4,33 @@
 import calicostream.net.BadInput;
 import calicostream.net.Connection;
 import calicostream.net.Loop;
-import calicostream.net.Ring;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.Locale;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Follows the change log's server-sent events, and asks again from the last one seen when they stop. */
-final class ChangeLog implements Connection.Handler {
+/**
+ * Follows the change log's server-sent events, and asks again from the last one seen as soon as they stop:
+ * what the log holds counts as told some seconds later, whether it has arrived or not.
+ */
+final class ChangeLog {
     private static final Logger LOG = LoggerFactory.getLogger(ChangeLog.class);
-    private static final int BOUND = 1024 * 1024; // a whole list of hundreds of engines
-    private static final long SILENT = 3_000_000; // us: a comment comes each second
-    private static final long FIRST_PAUSE = 50_000; // us before a new connection, doubled up to the longest
-    private static final long LONGEST_PAUSE = 800_000; // us: what the log holds counts as told within seconds
+    private static final int BOUND = 64 * 1024;
+    private static final long SILENT = 2_100_000; // us: a comment comes each second, and one may be late
+    private static final long UNBEGUN = 700_000; // us to connect and have the head of the answer
+    private static final long LOOK = 100_000; // us between looks for silence
+    private static final long FIRST_PAUSE = 20_000; // us before another try where one failed, doubled at each
+    private static final long LONGEST_PAUSE = 320_000;
+    private static final long APART = 50_000; // us from one try to the next at least: a log may hang up each time
     private final Loop loop;
-    private final InetSocketAddress address;
     private final Roster roster;
     private final Consumer<Roster.Change> changed;
-    private Connection connection;
+    private InetSocketAddress address;
+    private Follower follower;
     private long seq;
-    private long pause = FIRST_PAUSE;
-    private long heardAt;
-    private boolean chunked, inBody, skipsChunkEnd;
-    private long chunkLeft;
-    private final StringBuilder line = new StringBuilder();
-    private final StringBuilder data = new StringBuilder();
-    private String status;
+    private long pause;
 
     ChangeLog(Loop loop, InetSocketAddress address, Roster roster, long seq, Consumer<Roster.Change> changed) {
         this.loop = loop;
@@ -47,135 +45,103 @@
         watch(loop.clock().now(), 0);
     }
 
+    /** Goes on at another address, from the same event. */
+    void move(InetSocketAddress to) {
+        if (to.equals(address)) {
+            return;
+        }
+        address = to;
+        pause = 0;
+        Follower old = follower;
+        connect();
+        if (old != null) {
+            old.connection.close();
+        }
+    }
+
     private void connect() {
-        status = null;
-        inBody = chunked = skipsChunkEnd = false;
-        chunkLeft = 0;
-        line.setLength(0);
-        data.setLength(0);
-        heardAt = loop.clock().now();
+        follower = null;
         try {
-            connection = Connection.to(loop, address, this, BOUND, 4096);
-            connection.write(("GET /changes HTTP/1.1\r\nHost: " + address.getHostString() + ":" + address.getPort()
-                    + "\r\nAccept: text/event-stream\r\nLast-Event-ID: " + seq + "\r\n\r\n")
-                    .getBytes(StandardCharsets.US_ASCII));
+            follower = new Follower();
         } catch (IOException e) {
             LOG.warn("change log: {}", e.toString());
-            loop.deadlines().add(heardAt + LONGEST_PAUSE, (now, ref) -> connect(), 0);
+            loop.deadlines().add(loop.clock().now() + LONGEST_PAUSE, this::connectAgain, 0);
         }
     }
 
-    /** A log that falls silent without closing would leave this front end with an old list for good. */
-    private void watch(long now, long ref) {
-        if (now - heardAt > SILENT && connection != null && !connection.isClosed()) {
-            connection.close();
+    private void connectAgain(long now, long ref) {
+        if (follower == null) {
+            connect();
         }
-        loop.deadlines().add(now + SILENT / 6, this::watch, 0);
     }
 
-    @Override
-    public void connected(Connection c) {
-        heardAt = loop.clock().now();
-    }
-
-    @Override
-    public void closed(Connection c) {
-        loop.deadlines().add(loop.clock().now() + pause, (now, ref) -> connect(), 0);
-        pause = Math.min(LONGEST_PAUSE, pause * 2);
+    /** A log that falls silent without closing would leave this front end with an old list for good. */
+    private void watch(long now, long ref) {
+        if (follower != null && now - follower.heardAt > (follower.events.hasBegun() ? SILENT : UNBEGUN)) {
+            LOG.info("change log: silent");
+            follower.connection.close();
+        }
+        loop.deadlines().add(now + LOOK, this::watch, 0);
     }
 
-    @Override
-    public void received(Connection c) {
-        heardAt = loop.clock().now();
+    private void event(String text) {
         try {
-            while (step(c.in()) && !c.isClosed()) {
-                // Each step takes one line, or one chunk's edge.
-            }
-            if (c.in().room() == 0 || line.length() > BOUND || data.length() > BOUND) {
-                throw new BadInput("an event is too long");
+            Roster.Change change = roster.parse(text);
+            if (change.seq() > seq) { // One seen already, told twice or after a reconnect, may be out of date.
+                seq = change.seq();
+                changed.accept(change);
             }
-        } catch (BadInput e) {
+        } catch (BadInput e) { // The rest of the stream may be as bad: ask for it anew.
             LOG.warn("change log: {}", e.getMessage());
-            c.close();
+            follower.connection.close();
         }
     }
 
-    /** Takes what it can use next; false where more bytes are needed. */
-    private boolean step(Ring in) throws BadInput {
-        if (inBody && chunked && chunkLeft == 0) {
-            return chunkHead(in);
-        }
-        int end = in.indexOf((byte) '\n', 0);
-        int most = inBody && chunked ? (int) Math.min(in.size(), chunkLeft) : in.size();
-        int take = end >= 0 && end < most ? end + 1 : inBody ? most : 0;
-        if (take == 0) {
-            return false;
-        }
-        String text = new String(in.copy(0, take), StandardCharsets.UTF_8);
-        in.skip(take);
-        if (inBody && chunked) {
-            chunkLeft -= take;
-            skipsChunkEnd = chunkLeft == 0;
+    /** One connection to the log. */
+    private final class Follower implements Connection.Handler {
+        final Connection connection;
+        final EventStream events = new EventStream(this::event);
+        final long askedAt = loop.clock().now();
+        long heardAt = askedAt;
+
+        Follower() throws IOException {
+            connection = Connection.to(loop, address, this, BOUND, 4096);
+            connection.write(("GET /changes HTTP/1.1\r\nHost: " + address.getHostString() + ":" + address.getPort()
+                    + "\r\nAccept: text/event-stream\r\nLast-Event-ID: " + seq + "\r\n\r\n")
+                    .getBytes(StandardCharsets.US_ASCII));
         }
-        line.append(text);
-        if (text.endsWith("\n")) {
-            String whole = line.toString().stripTrailing();
-            line.setLength(0);
-            if (inBody) {
-                field(whole);
-            } else {
-                head(whole);
+
+        private void event(String text) {
+            if (!connection.isClosed()) {
+                ChangeLog.this.event(text);
             }
         }
-        return true;
-    }
 
-    private boolean chunkHead(Ring in) throws BadInput {
-        int end = in.indexOf((byte) '\n', 0);
-        if (end < 0) {
-            return false;
-        }
-        String text = new String(in.copy(0, end), StandardCharsets.US_ASCII).split(";")[0].trim();
-        in.skip(end + 1);
-        if (skipsChunkEnd && text.isEmpty()) {
-            skipsChunkEnd = false;
-            return true;
-        }
-        try {
-            chunkLeft = Long.parseLong(text, 16);
-        } catch (NumberFormatException e) {
-            throw new BadInput("a chunk's length can't be read");
-        }
-        if (chunkLeft <= 0) {
-            throw new BadInput("the stream ended");
+        @Override
+        public void connected(Connection c) {
+            heardAt = loop.clock().now();
         }
-        return true;
-    }
 
-    private void head(String header) throws BadInput {
-        if (status == null) {
-            status = header;
-            if (!header.startsWith("HTTP/1.") || !header.contains(" 200")) {
-                throw new BadInput("answered '" + header + "'");
+        @Override
+        public void received(Connection c) {
+            heardAt = loop.clock().now();
+            try {
+                events.take(c.in());
+                pause = events.hasBegun() ? 0 : pause;
+            } catch (BadInput e) {
+                LOG.warn("change log: {}", e.getMessage());
+                c.close();
             }
-        } else if (header.isEmpty()) {
-            inBody = true;
-        } else {
-            String lower = header.toLowerCase(Locale.ROOT);
-            chunked |= lower.startsWith("transfer-encoding:") && lower.contains("chunked");
         }
-    }
 
-    private void field(String text) throws BadInput {
-        if (text.startsWith("data:")) {
-            data.append(data.length() > 0 ? "\n" : "").append(text.substring(text.startsWith("data: ") ? 6 : 5));
-        } else if (text.isEmpty() && data.length() > 0) {
-            Roster.Change change = roster.parse(data.toString());
-            data.setLength(0);
-            pause = FIRST_PAUSE;
-            if (change.seq() > seq) { // One seen already, sent again after a reconnect, may be out of date.
-                seq = change.seq();
-                changed.accept(change);
+        /** At once where it had been heard; else after a pause, as it may not be there. */
+        @Override
+        public void closed(Connection c) {
+            if (follower == this) {
+                follower = null;
+                long next = Math.max(loop.clock().now() + pause, askedAt + APART);
+                loop.deadlines().add(next, ChangeLog.this::connectAgain, 0);
+                pause = Math.min(LONGEST_PAUSE, Math.max(FIRST_PAUSE, pause * 2));
             }
         }
     }
--- a/src/main/java/calicostream/platform/Node.java
+++ b/src/main/java/calicostream/platform/Node.java
@@ -2,6 +2,7 @@
 package calicostream.platform;
 
 import calicostream.QueryRouter.Settings;
+import calicostream.SettingsException;
 import calicostream.SettingsParser;
 import calicostream.core.Clock;
 import calicostream.core.Deadlines;
@@ -15,6 +16,8 @@
 import calicostream.syslog.Syslog;
 import calicostream.syslog.SyslogConfig;
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -31,6 +34,7 @@
     private final Gateway gateway;
     private final FlightFront flight;
     private final NodeConfig config;
+    private final ChangeLog log;
     private final CountDownLatch done = new CountDownLatch(1);
 
     /** Flight SQL and syslog are off, and their classes not loaded, where their configuration is null. */
@@ -52,10 +56,28 @@
         Roster.Change known = roster.known(config.known());
         known.addresses().forEach(engines::locate);
         gateway.start(engines, known.engines());
-        new ChangeLog(loop, config.changelog(), roster, known.seq(), change -> {
+        log = new ChangeLog(loop, config.changelog(), roster, known.seq(), change -> {
             change.addresses().forEach(engines::locate);
             gateway.roster(change.kind(), change.engines());
-        }).start();
+        });
+        log.start();
+    }
+
+    /**
+     * On SIGHUP, off the loop's thread: reads the file anew and follows the change log at its new address, from
+     * the last event seen on. Requests, connections and all else stay as they are, and so does everything where
+     * the new file can't be used.
+     */
+    public void reload(Path path) {
+        loop.post(() -> {
+            try {
+                InetSocketAddress to = NodeConfig.read(path).changelog();
+                LOG.info("configuration read anew, change log at {}", to);
+                log.move(to);
+            } catch (SettingsException e) {
+                LOG.warn("the configuration stays as it was: {}", e.getMessage());
+            }
+        });
     }
 
     /** Serves until SIGTERM and what was taken by then is answered. */
--- a/src/main/java/calicostream/platform/Roster.java
+++ b/src/main/java/calicostream/platform/Roster.java
@@ -10,7 +10,6 @@
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
-import com.eclipsesource.json.ParseException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -61,14 +60,18 @@
     public Change parse(String event) throws BadInput {
         try {
             return change(Json.parse(event).asObject());
-        } catch (ParseException | UnsupportedOperationException | NullPointerException e) {
-            throw new BadInput("an event of the change log can't be read");
+        } catch (RuntimeException e) { // ParseException, or a member that is missing or of another kind
+            throw new BadInput("an event of the change log can't be read: " + e);
         }
     }
 
     private Change change(JsonObject event) throws BadInput {
         JsonObject fleet = event.get("fleet").asObject();
         boolean whole = fleet.getBoolean("snapshot", false);
+        Map<Long, Start> before = Map.copyOf(starts);
+        if (whole) {
+            starts.clear();
+        }
         List<QueryRouter.Engine> engines = new ArrayList<>();
         Map<Long, InetSocketAddress> addresses = new LinkedHashMap<>();
         for (JsonValue each : fleet.get("endpoints").asArray()) {
@@ -77,7 +80,10 @@
             long id = id(name);
             EngineState state = state(entry.getString("status", ""));
             engines.add(new QueryRouter.Engine(id, index(kinds, entry.getString("type", "")), entry.getInt("group", 0),
-                    index(zones, entry.getString("zone", "")), born(id, entry.getLong("since_ms", 0)), state));
+                    index(zones, entry.getString("zone", "")), born(before.get(id), id, entry.getLong("since_ms", 0)), state));
+            if (state == EngineState.GONE) {
+                starts.remove(id);
+            }
             String address = entry.getString("address", "");
             if (!address.isEmpty()) {
                 addresses.put(id, address(address));
@@ -90,12 +96,10 @@
     }
 
     /** A start keeps the module's time it was first given: converted anew it would look like a restart. */
-    private long born(long id, long millis) {
-        Start start = starts.get(id);
-        if (start == null || start.millis != millis) {
-            start = new Start(millis, clock.ofUnixMillis(millis));
-            starts.put(id, start);
-        }
+    private long born(Start before, long id, long millis) {
+        boolean same = before != null && before.millis == millis;
+        Start start = same ? before : new Start(millis, clock.ofUnixMillis(millis));
+        starts.put(id, start);
         return start.born;
     }
 
--- a/src/test/java/calicostream/wire/Exchange.java
+++ b/src/test/java/calicostream/wire/Exchange.java
@@ -23,7 +23,8 @@
 /**
  * Plays a recorded exchange against the started program. A line is a party, a sign and bytes: '>' is sent by
  * the party, '<' is what the party must receive next, '!' is a word on it. Parties: c1, c2 ... clients (lines),
- * crowd (many clients), e1, e2 ... engines (commands with '|' between their parts), log (events), program. In bytes, b64(...) is
+ * crowd (many clients), e1, e2 ... engines (commands with '|' between their parts), log and log2 (events),
+ * program. In bytes, b64(...) is
  * base64 and \n, \r, \t, \0 are what they usually are; in what is expected, * stands for any bytes, and in
  * events @e1 for an engine's address and @@ for the time in Unix milliseconds.
  */
@@ -32,7 +33,7 @@
     private final Map<String, BufferedReader> readers = new HashMap<>();
     private final Map<String, RespStand> engines = new HashMap<>();
     private final List<Socket> crowd = new ArrayList<>();
-    private final ChangeLogStand log = new ChangeLogStand();
+    private final Map<String, ChangeLogStand> logs = Map.of("log", new ChangeLogStand(), "log2", new ChangeLogStand());
     private final Path folder;
     private int sockets = 1024;
     private Program program;
@@ -72,8 +73,8 @@
     private void step(String party, char sign, String text) throws IOException {
         if (party.equals("program")) {
             program(text);
-        } else if (party.equals("log")) {
-            log(sign, text);
+        } else if (logs.containsKey(party)) {
+            log(logs.get(party), sign, text);
         } else if (party.equals("crowd")) {
             crowd(text.split(" "));
         } else if (party.startsWith("e")) {
@@ -95,11 +96,18 @@
                         known.add(Program.endpoint(name, engines.get(name).address(), "Ready", 0));
                     }
                 }
-                program = new Program(folder, log.port(), known, sockets);
-                assertEquals("1", log.follow());
+                program = new Program(folder, logs.get("log").port(), known, sockets);
+                assertEquals("1", logs.get("log").follow());
                 port = program.port("listens on port");
             } else if (word.equals("term")) {
                 program.signal();
+            } else if (word.equals("hup with a bad file")) {
+                Files.writeString(folder.resolve("config.json"), "{");
+                program.hangUp();
+                program.awaitLine("stays as it was");
+            } else if (word.startsWith("hup ")) {
+                Program.configure(folder, logs.get(word.substring(4)).port(), List.of(), sockets);
+                program.hangUp();
             } else {
                 assertEquals("exit 0", word);
                 int code = program.awaitExit();
@@ -134,7 +142,7 @@
         return socket;
     }
 
-    private void log(char sign, String text) throws IOException {
+    private void log(ChangeLogStand log, char sign, String text) throws IOException {
         if (sign == '<') {
             assertEquals(text, log.follow());
         } else if (text.equals("close")) {
@@ -218,7 +226,9 @@
         if (program != null) {
             program.close();
         }
-        log.close();
+        for (ChangeLogStand log : logs.values()) {
+            log.close();
+        }
         for (RespStand engine : engines.values()) {
             engine.close();
         }
--- a/src/test/java/calicostream/wire/Program.java
+++ b/src/test/java/calicostream/wire/Program.java
@@ -82,10 +82,16 @@
 
     /** The port named in the log line that has this text. */
     public int port(String of) throws IOException {
+        String line = awaitLine(of);
+        return Integer.parseInt(line.substring(line.lastIndexOf(' ') + 1));
+    }
+
+    /** Waits for a log line that has this text. */
+    public String awaitLine(String of) throws IOException {
         for (String line = log.readLine(); line != null; line = log.readLine()) {
             seen.append(line).append('\n');
             if (line.contains(of)) {
-                return Integer.parseInt(line.substring(line.lastIndexOf(' ') + 1));
+                return line;
             }
         }
         throw new IOException("the program ended:\n" + seen);
@@ -101,6 +107,11 @@
         process.destroy();
     }
 
+    /** SIGHUP, which Java itself can't send. */
+    public void hangUp() throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+    }
+
     public boolean isAlive() {
         return process.isAlive();
     }
