One attempt a connection; one that breaks alone, or a query's own error, does not bench its engine

The logs named the cause: 28 benchings for ERROR and 13 for RESET in 25 s of a fleet of five. Checked with a probe in RespEngines (BROKE and its statements): the errors were all to requests of bad clients, well formed, 1,670 of them, and each good answer in between cleared fewer strikes than came. "a result that can't be" was logged 7 times: a second DONE while pages were fetched. Ruled out: CPU (10% on average), memory, the change log. At fault: Logic.note (an ERROR struck at once, and any RESET benched and made the engine cold for its warm-up time), RespEngines.done (a second copy dropped the connection), RespEngines.choose (all attempts on one connection).

Now an engine is struck for an error once another has served the same query, and a query that errs on two engines fails. A connection that breaks under attempts is followed by another one that tells whether the process died (RESET) or not (SPOILT, new, no bench). Attempts have a connection each while descriptors allow; half answers, missing pages and cut rows drop theirs; second copies do nothing; an engine that is gone frees what is kept for it.

--- a/src/main/java/calicostream/Logic.java
+++ b/src/main/java/calicostream/Logic.java
@@ -150,10 +150,10 @@
         final boolean overShare;
         double value;
         int attempts, looking;
-        Node at, avoid;
+        Node at, avoid, erredAt;
         Engine riskAt;
         long sentAt, newsAt, riskUntil, lookedAt = LONG_AGO;
-        boolean cancelled, mayHaveRun, streaming, done, late;
+        boolean cancelled, mayHaveRun, streaming, done, late, unusable;
 
         Job(long now, Query query, QueryClass spec, Learned learned, Group group, Key key, boolean beyond) {
             this.query = query;
@@ -683,20 +683,27 @@
         if (job.key == null) {
             return;
         }
-        if (outcome == Outcome.TIMEOUT || outcome == Outcome.RESET || outcome == Outcome.CANCELLED) {
+        if (outcome == Outcome.TIMEOUT || outcome == Outcome.RESET || outcome == Outcome.SPOILT
+                || outcome == Outcome.CANCELLED) {
             job.key.restUntil = Math.max(job.key.restUntil, now + settings.rules().keyRestUs());
         }
         job.key.unsettled -= job.done ? 1 : 0;
     }
 
-    /** What the outcome tells of the engine and of the class. */
+    /**
+     * What the outcome tells of the engine and of the class. An error may be the query's own: an engine is
+     * struck for it once another one has served the same query.
+     */
     private void note(long now, Job job, Node at, AttemptEnd end) {
         Outcome outcome = end.outcome();
         if (outcome == Outcome.CONNECT_FAILED || outcome == Outcome.RESET) {
             at.coldFrom = now; // It may come back before the roster tells of it.
             bench(now, at, outcome);
-        } else if (outcome == Outcome.ERROR || outcome == Outcome.TIMEOUT && at.benched) {
+        } else if (outcome == Outcome.SPOILT || outcome == Outcome.TIMEOUT && at.benched) {
             strike(now, at, outcome);
+        } else if (outcome == Outcome.ERROR) {
+            job.unusable = job.erredAt != null;
+            job.erredAt = at;
         } else if (outcome == Outcome.FULL) {
             view(now, at, 2 * ROOM * at.cores, 1);
         } else if (outcome == Outcome.OK) {
@@ -704,6 +711,9 @@
             if (job.sentAt >= at.benchedUntil) {
                 forgive(at);
             }
+            if (job.erredAt != null && job.erredAt != at) {
+                strike(now, job.erredAt, Outcome.ERROR);
+            }
         }
     }
 
@@ -729,11 +739,12 @@
             job.mayHaveRun = true;
         }
         job.avoid = at;
-        boolean spent = job.attempts >= settings.limits().maxAttempts() || outcome == Outcome.MOOT;
+        boolean most = job.attempts >= settings.limits().maxAttempts();
+        boolean spent = most || outcome == Outcome.MOOT || job.unusable;
         boolean allowed = !job.mayHaveRun || job.spec.effect() == Effect.REPEATABLE
                 || job.spec.effect() == Effect.BY_KEY && now < job.riskUntil;
         if (spent || !allowed || now >= job.deadline) {
-            finish(now, job, now < job.due);
+            finish(now, job, now < job.due && !job.unusable);
         } else if (!place(now, job)) {
             held.add(job);
         }
--- a/src/main/java/calicostream/QueryRouter.java
+++ b/src/main/java/calicostream/QueryRouter.java
@@ -80,10 +80,13 @@
     /** State of an engine's process as the roster knows it. */
     enum EngineState { GONE, READY, DRAINING }
 
-    /** How an attempt or a probe ended. */
+    /**
+     * How an attempt or a probe ended. {@code RESET}: with the engine's process; {@code SPOILT}: with its connection
+     * alone, or by an answer that can't be read. The simulator's wire has no word for the latter.
+     */
     enum Outcome {
-        OK(true), ERROR(true), FULL(false), TIMEOUT(true), CONNECT_FAILED(false), RESET(true), CANCELLED(true),
-        MOOT(false);
+        OK(true), ERROR(true), FULL(false), TIMEOUT(true), CONNECT_FAILED(false), RESET(true), SPOILT(true),
+        CANCELLED(true), MOOT(false);
 
         /** Whether the query may have run, wholly or in part. */
         public final boolean mayHaveRun;
--- a/src/main/java/calicostream/core/Engines.java
+++ b/src/main/java/calicostream/core/Engines.java
@@ -23,6 +23,9 @@
     /** A new priority for an attempt that is out. */
     void priority(Gateway.Attempt attempt);
 
-    /** The engine drains or is gone: what has not gone out to it must not. */
+    /** The engine drains: what has not gone out to it must not. */
     void withdrawn(long engine);
+
+    /** The engine's process has ended: attempts there end, and all that is kept for it is forgotten. */
+    void gone(long engine);
 }
--- a/src/main/java/calicostream/core/Gateway.java
+++ b/src/main/java/calicostream/core/Gateway.java
@@ -166,14 +166,22 @@
         }
     }
 
-    /** News of the list of engines. What has not yet gone out to an engine that drains is taken back first. */
+    /**
+     * News of the list of engines. What has not yet gone out to an engine that drains is taken back first; the
+     * module hears of such ends after it has heard the list, so that it does not choose the same engine again.
+     */
     public void roster(QueryRouter.RosterKind kind, List<QueryRouter.Engine> list) {
-        if (kind != QueryRouter.RosterKind.CHANGES) {
-            Map<Long, QueryRouter.Engine> old = new HashMap<>(roster);
-            list.forEach(e -> old.remove(e.id()));
-            old.values().forEach(e -> list(e.in(QueryRouter.EngineState.GONE)));
+        inModule = true;
+        try {
+            if (kind != QueryRouter.RosterKind.CHANGES) {
+                Map<Long, QueryRouter.Engine> old = new HashMap<>(roster);
+                list.forEach(e -> old.remove(e.id()));
+                old.values().forEach(e -> list(e.in(QueryRouter.EngineState.GONE)));
+            }
+            list.forEach(this::list);
+        } finally {
+            inModule = false;
         }
-        list.forEach(this::list);
         tell(r -> r.roster(clock.now(), kind, list));
     }
 
@@ -183,8 +191,10 @@
         if (!engine.equals(old)) {
             watcher.engine(engine);
         }
-        if (engine.state() != QueryRouter.EngineState.READY) {
+        if (engine.state() == QueryRouter.EngineState.DRAINING) {
             engines.withdrawn(engine.id());
+        } else if (engine.state() == QueryRouter.EngineState.GONE) {
+            engines.gone(engine.id());
         }
     }
 
--- a/src/main/java/calicostream/grpc/ChannelEngines.java
+++ b/src/main/java/calicostream/grpc/ChannelEngines.java
@@ -44,4 +44,9 @@
     public void withdrawn(long engine) {
         channels.withdrawn(engine);
     }
+
+    @Override
+    public void gone(long engine) {
+        channels.gone(engine);
+    }
 }
--- a/src/main/java/calicostream/grpc/Channels.java
+++ b/src/main/java/calicostream/grpc/Channels.java
@@ -92,6 +92,15 @@
         }
     }
 
+    /** The channel ends with its engine, and so do its calls: a machine cut off would never end them. */
+    public void gone(long engine) {
+        Peer peer = peers.remove(engine);
+        if (peer != null) {
+            takeBack(peer);
+            peer.channel.shutdownNow();
+        }
+    }
+
     public void close() {
         peers.values().forEach(peer -> peer.channel.shutdownNow());
     }
--- a/src/main/java/calicostream/net/Connection.java
+++ b/src/main/java/calicostream/net/Connection.java
@@ -2,7 +2,9 @@
 package calicostream.net;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.net.SocketException;
 import java.net.StandardSocketOptions;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
@@ -31,7 +33,7 @@
     private final Ring out;
     private SelectionKey key;
     private boolean connecting, closed, paused, flushing;
-    private boolean closeWhenFlushed, lingering;
+    private boolean closeWhenFlushed, lingering, reset;
 
     private Connection(Loop loop, SocketChannel channel, Handler handler, int boundIn, int boundOut) {
         this.loop = loop;
@@ -115,7 +117,9 @@
      * while: closing on unread bytes would reset the connection, and the last answer with it.
      */
     public void finish() {
-        if (!closeWhenFlushed && !closed) {
+        if (connecting) {
+            close();
+        } else if (!closeWhenFlushed && !closed) {
             closeWhenFlushed = true;
             pause(true);
             loop.deadlines().add(loop.clock().now() + LINGER, (now, ref) -> close(), 0);
@@ -123,9 +127,14 @@
         }
     }
 
-    /** Whether it only waits for the other side to see its end. */
+    /** Whether it has ended, or only waits for the other side to see its end. */
     public boolean isFinishing() {
-        return closeWhenFlushed;
+        return closeWhenFlushed || closed;
+    }
+
+    /** Whether the other side, which was there, ended it before it had come up. */
+    public boolean wasReset() {
+        return reset;
     }
 
     public void close() {
@@ -145,11 +154,7 @@
     public void ready() {
         try {
             if (connecting) {
-                if (channel.finishConnect()) {
-                    connecting = false;
-                    interest();
-                    handler.connected(this);
-                }
+                connect();
                 return;
             }
             if (key.isWritable()) {
@@ -173,6 +178,21 @@
         }
     }
 
+    private void connect() throws IOException {
+        try {
+            if (channel.finishConnect()) {
+                connecting = false;
+                interest();
+                handler.connected(this);
+            }
+        } catch (ConnectException e) { // Refused: nobody is there.
+            close();
+        } catch (SocketException e) {
+            reset = true;
+            close();
+        }
+    }
+
     @Override
     public void broken() {
         close();
--- a/src/main/java/calicostream/platform/Node.java
+++ b/src/main/java/calicostream/platform/Node.java
@@ -35,6 +35,7 @@
     private final FlightFront flight;
     private final NodeConfig config;
     private final ChangeLog log;
+    private final Descriptors descriptors;
     private final CountDownLatch done = new CountDownLatch(1);
 
     /** Flight SQL and syslog are off, and their classes not loaded, where their configuration is null. */
@@ -43,9 +44,10 @@
         SettingsParser settings = config.settings();
         Clock clock = new Clock();
         loop = new Loop(clock, new Deadlines());
+        descriptors = Descriptors.of(config.sockets());
         boolean flightEngines = flightConfig != null && flightConfig.flightEngines();
         Engines engines = flightEngines ? new FlightEngines(loop, settings, flightConfig.mostResultBytes())
-                : new RespEngines(loop, settings.classNames(), settings.wiring());
+                : new RespEngines(loop, settings.classNames(), settings.wiring(), descriptors.engines());
         Watcher watcher = syslogConfig == null ? Watcher.NONE
                 : new Syslog(loop, syslogConfig, config.name(), settings.classNames());
         Settings decided = flightEngines ? settings.settings().withoutNotes() : settings.settings();
@@ -83,7 +85,7 @@
     /** Serves until SIGTERM and what was taken by then is answered. */
     public void run() throws IOException {
         int warmed = new WarmUp(config.settings().settings(), config.settings().classNames()).run();
-        front.listen(config.listen(), Descriptors.of(config.sockets()).clients());
+        front.listen(config.listen(), descriptors.clients());
         Runtime.getRuntime().addShutdownHook(new Thread(this::terminate, "terminate"));
         LOG.info("{}, warmed up by {} requests, listens on port {}", config.name(), warmed, front.port());
         if (flight != null) {
--- a/src/main/java/calicostream/platform/RespEngines.java
+++ b/src/main/java/calicostream/platform/RespEngines.java
@@ -25,29 +25,35 @@
 /** The engine side of the platform: RESP over a few reused connections to each engine. */
 final class RespEngines implements Engines {
     private static final Logger LOG = LoggerFactory.getLogger(RespEngines.class);
-    private static final int BOUND = 256 * 1024;
-    private static final int MOST_CONNECTIONS = 6; // to one engine: with ten engines far below the descriptors
+    private static final int BOUND = 128 * 1024;
+    private static final int MOST_CONNECTIONS = 32; // to one engine: more than the attempts that it gets
     private static final int MOST_PAGES = 64;
+    private static final int LONGEST_RESULT = 48_000;
+    private static final int LONGEST_PAGE = 6_000;
+    private static final long HALF_ANSWER = 500_000; // us: an answer comes in one piece, but for the network's hops
+    private static final long PAGE = 1_000_000; // us: a page waits on its engine, and nothing is left to be run
     private static final int MOST_STALE = 256;
     private static final double SILENT_NOTES = 1.25; // note periods without a byte after which a link is in doubt
 
     /** What a listed engine is reached at, and the connections there. */
     private static final class Engine {
         InetSocketAddress address;
+        boolean draining;
         final List<Link> links = new ArrayList<>();
     }
 
     /** An attempt on its connection. */
     private static final class Call {
         final Gateway.Attempt attempt;
-        final Link link;
+        Link link;
+        long writtenAt;
         byte[][] pages;
         int pagesLeft;
         Report report;
+        int dials;
 
-        Call(Gateway.Attempt attempt, Link link) {
+        Call(Gateway.Attempt attempt) {
             this.attempt = attempt;
-            this.link = link;
         }
     }
 
@@ -56,10 +62,14 @@
     private final SettingsParser.Wiring wiring;
     private final long reportIdleUs;
     private final Map<Long, Engine> engines = new HashMap<>();
+    private final int mostLinks;
+    private int links;
     private Gateway gateway;
 
-    RespEngines(Loop loop, List<String> classNames, SettingsParser.Wiring wiring) {
+    /** At most so many connections to all engines together. */
+    RespEngines(Loop loop, List<String> classNames, SettingsParser.Wiring wiring, int mostLinks) {
         this.loop = loop;
+        this.mostLinks = mostLinks;
         this.classNames = classNames;
         this.wiring = wiring;
         // The engine closes an idle connection too; closing well before it keeps a request from crossing that.
@@ -85,24 +95,36 @@
     @Override
     public void send(Gateway.Attempt attempt) {
         Engine e = engines.get(attempt.engine);
-        Link link = e == null ? null : choose(e, attempt.request.id);
-        if (link == null) {
-            gateway.ended(attempt, e == null ? Outcome.CONNECT_FAILED : Outcome.FULL, null, null);
+        if (e == null) {
+            gateway.ended(attempt, Outcome.CONNECT_FAILED, null, null);
             return;
         }
-        Call call = new Call(attempt, link);
+        e.draining = false;
+        Call call = new Call(attempt);
         attempt.link = call;
-        link.add(call);
+        place(e, call);
+    }
+
+    private void place(Engine e, Call call) {
+        Link link = choose(e, call.attempt.request.id);
+        if (link == null) {
+            gateway.ended(call.attempt, Outcome.FULL, call.report, null);
+        } else {
+            link.add(call);
+        }
     }
 
+    /** A connection that has not been heard since the attempt went out may be dead: it takes no other. */
     @Override
     public void stop(Gateway.Attempt attempt) {
         if (attempt.link instanceof Call call && call.link.calls.remove(attempt.request.id, call)) {
-            if (!call.link.unsent.remove(call)) {
-                call.link.tell("STOP", attempt.request.id);
-                call.link.stale(attempt.request.id);
+            Link link = call.link;
+            if (!link.unsent.remove(call)) {
+                link.doubtful |= link.heardAt < call.writtenAt;
+                link.tell("STOP", attempt.request.id);
+                link.stale(attempt.request.id);
             }
-            call.link.rested();
+            link.rested();
         }
     }
 
@@ -121,6 +143,7 @@
     public void withdrawn(long engine) {
         Engine e = engines.get(engine);
         if (e != null) {
+            e.draining = true;
             List.copyOf(e.links).forEach(link -> List.copyOf(link.unsent).forEach(call -> {
                 link.unsent.remove(call);
                 link.end(call, Outcome.CONNECT_FAILED, null);
@@ -129,35 +152,46 @@
         }
     }
 
+    /** Its process has ended, so what is open to it gets no answer; a machine cut off would never say so. */
+    @Override
+    public void gone(long engine) {
+        Engine e = engines.remove(engine);
+        if (e != null) {
+            e.draining = true;
+            List.copyOf(e.links).forEach(link -> link.connection.close());
+        }
+    }
+
     private static void closeIdle(Engine e) {
         List.copyOf(e.links).stream().filter(l -> l.calls.isEmpty()).forEach(l -> l.connection.close());
     }
 
-    /** The connection with most room that is up, else one coming up, else a new one; null where all are full. */
+    /**
+     * A resting connection, the last used first, else a new one, as whatever spoils a connection spoils all that
+     * is on it; the one with most room where no more may be opened, and null where all are full.
+     */
     private Link choose(Engine e, String id) {
         long now = loop.clock().now();
         Link best = null;
         for (Link link : e.links) {
-            boolean usable = !link.connection.isClosed() && link.calls.size() < wiring.streams()
+            boolean usable = !link.connection.isFinishing() && link.calls.size() < wiring.streams() && !link.doubtful
                     && !link.silent(now) && !link.stale.contains(id) && !link.calls.containsKey(id);
-            boolean better = best == null || link.connection.isConnected() && !best.connection.isConnected()
-                    || link.connection.isConnected() == best.connection.isConnected()
-                    && link.calls.size() < best.calls.size();
+            boolean better = best == null || link.calls.size() < best.calls.size()
+                    || link.calls.size() == best.calls.size() && link.restedAt > best.restedAt;
             if (usable && better) {
                 best = link;
             }
         }
-        if (best != null) {
+        int fair = Math.max(1, mostLinks / Math.max(1, engines.size()));
+        boolean more = e.links.size() < Math.min(fair, MOST_CONNECTIONS) && links < mostLinks;
+        if (best != null && (best.calls.isEmpty() || !more) || !more) {
             return best;
         }
-        if (e.links.size() >= MOST_CONNECTIONS) {
-            return null;
-        }
         try {
             return new Link(e);
         } catch (IOException x) {
             LOG.warn("no connection to {}: {}", e.address, x.toString());
-            return null;
+            return best;
         }
     }
 
@@ -167,16 +201,19 @@
         final Map<String, Call> calls = new HashMap<>();
         final List<Call> unsent = new ArrayList<>();
         final Set<String> stale = new HashSet<>();
+        final List<Link> inDoubt = new ArrayList<>(); // broken ones whose engine may have died with them
         final Connection connection;
         long heardAt;
         long busySince;
         long restedAt;
-        boolean watched;
+        long partSince;
+        boolean watched, partWatched, doubtful, spoilt;
 
         Link(Engine engine) throws IOException {
             this.engine = engine;
             connection = Connection.to(loop, engine.address, this, BOUND, BOUND);
             engine.links.add(this);
+            links++;
             loop.deadlines().add(loop.clock().now() + wiring.dialTimeoutUs(), (now, ref) -> {
                 if (!connection.isConnected()) {
                     connection.close();
@@ -188,6 +225,8 @@
             if (calls.isEmpty()) {
                 busySince = loop.clock().now();
             }
+            call.link = this;
+            call.dials++;
             calls.put(call.attempt.request.id, call);
             if (connection.isConnected()) {
                 write(call);
@@ -198,6 +237,7 @@
 
         private void write(Call call) {
             Gateway.Attempt a = call.attempt;
+            call.writtenAt = loop.clock().now();
             long waitMs = Math.max(1, (a.giveUpAt - loop.clock().now()) / 1000);
             String fields = "class=" + classNames.get(a.request.queryClass) + ",wait=" + waitMs
                     + ",urgency=" + a.request.priority();
@@ -228,6 +268,9 @@
 
         void end(Call call, Outcome outcome, byte[] result) {
             if (calls.remove(call.attempt.request.id, call)) {
+                if (outcome != Outcome.OK) { // Another attempt of it must not take a second copy for its own answer.
+                    stale(call.attempt.request.id);
+                }
                 rested();
                 gateway.ended(call.attempt, outcome, call.report, result);
             }
@@ -235,7 +278,9 @@
 
         void rested() {
             restedAt = loop.clock().now();
-            if (calls.isEmpty() && !watched && !connection.isClosed()) {
+            if (calls.isEmpty() && (doubtful || engine.draining)) {
+                connection.finish();
+            } else if (calls.isEmpty() && !watched && !connection.isClosed()) {
                 watched = true;
                 loop.deadlines().add(restedAt + reportIdleUs, this::idle, 0);
             }
@@ -257,6 +302,9 @@
             List<Call> waiting = List.copyOf(unsent);
             unsent.clear();
             waiting.forEach(this::write);
+            inDoubt.forEach(link -> link.endAll(Outcome.SPOILT));
+            inDoubt.clear();
+            rested();
         }
 
         @Override
@@ -264,15 +312,39 @@
             heardAt = loop.clock().now();
             try {
                 for (byte[][] answer = Resp.take(c.in()); answer != null; answer = Resp.take(c.in())) {
+                    partSince = heardAt;
                     answer(answer);
                 }
                 if (c.in().room() == 0) {
                     throw new BadInput("an answer is too long");
                 }
+                if (c.in().size() > 0 && !partWatched) {
+                    partWatched = true;
+                    partSince = heardAt;
+                    loop.deadlines().add(heardAt + HALF_ANSWER, this::part, 0);
+                }
             } catch (BadInput e) {
-                // Whatever was meant is unknown: every attempt on this connection may have run.
-                LOG.warn("engine at {}: {}", engine.address, e.getMessage());
-                c.close();
+                spoilt(e.getMessage());
+            }
+        }
+
+        /** Whatever was meant is unknown: every attempt on this connection may have run. */
+        private void spoilt(String why) {
+            LOG.warn("engine at {}: {}", engine.address, why);
+            spoilt = true;
+            connection.close();
+        }
+
+        /** An answer that stopped half-way holds up all behind it for good. */
+        private void part(long now, long ref) {
+            partWatched = false;
+            if (!connection.isClosed() && connection.in().size() > 0) {
+                if (now - partSince >= HALF_ANSWER) {
+                    spoilt("an answer stopped half-way");
+                } else {
+                    partWatched = true;
+                    loop.deadlines().add(partSince + HALF_ANSWER, this::part, 0);
+                }
             }
         }
 
@@ -281,13 +353,12 @@
                 throw new BadInput("an answer of " + answer.length + " parts");
             }
             String id = new String(answer[0], StandardCharsets.ISO_8859_1);
-            String word = new String(answer[1], StandardCharsets.ISO_8859_1);
-            Map<String, String> fields = Fields.parse(new String(answer[2], StandardCharsets.ISO_8859_1));
             Call call = calls.get(id);
-            if (call == null) {
-                stale.remove(id);
+            if (call == null) { // Late, a second copy, or nobody's: good as it may be, it is of no use.
                 return;
             }
+            String word = new String(answer[1], StandardCharsets.ISO_8859_1);
+            Map<String, String> fields = Fields.parse(new String(answer[2], StandardCharsets.ISO_8859_1));
             Report report = Fields.report(fields.get("stats"));
             call.report = report != null ? report : call.report;
             switch (word) {
@@ -303,35 +374,55 @@
 
         /** The first page. The rest is fetched before anything goes out: a result is passed on whole or not. */
         private void done(Call call, int pages, byte[] first) throws BadInput {
-            if (pages < 1 || call.pages != null) {
+            if (call.pages != null) { // A second copy, while the other pages are on their way.
+                return;
+            }
+            if (pages < 1) {
                 throw new BadInput("a result that can't be");
             }
             if (pages == 1) {
-                end(call, Outcome.OK, first);
+                end(call, Outcome.OK, rows(first));
                 return;
             }
             call.pages = new byte[pages][];
-            call.pages[0] = first;
+            call.pages[0] = rows(first);
             call.pagesLeft = pages - 1;
             for (int page = 1; page < pages; page++) {
                 tell("FETCH", call.attempt.request.id, Integer.toString(page));
             }
+            awaitPage(call, call.pagesLeft);
+        }
+
+        /** Pages come one after another; where none does, the connection is of no more use. */
+        private void awaitPage(Call call, int left) {
+            loop.deadlines().add(loop.clock().now() + PAGE, (now, ref) -> {
+                if (calls.get(call.attempt.request.id) == call) {
+                    if (call.pagesLeft < left) {
+                        awaitPage(call, call.pagesLeft);
+                    } else {
+                        spoilt("a page did not come");
+                    }
+                }
+            }, 0);
         }
 
         private void more(Call call, int page, byte[] rows) throws BadInput {
-            if (call.pages == null || page < 1 || page >= call.pages.length) {
+            if (call.pages == null || page < 0 || page >= call.pages.length) {
                 throw new BadInput("a page that was not asked for");
             }
             if (call.pages[page] != null) {
                 return;
             }
-            call.pages[page] = rows;
+            call.pages[page] = rows(rows);
             if (--call.pagesLeft == 0) {
                 tell("END", call.attempt.request.id);
                 int length = 0;
                 for (byte[] each : call.pages) {
                     length += each.length;
                 }
+                if (length > LONGEST_RESULT) {
+                    throw new BadInput("a result is too long");
+                }
                 byte[] whole = new byte[length];
                 int at = 0;
                 for (byte[] each : call.pages) {
@@ -342,6 +433,14 @@
             }
         }
 
+        /** A page of whole rows; one that is cut would pass for whole further on. */
+        private byte[] rows(byte[] page) throws BadInput {
+            if (page.length > LONGEST_PAGE || page.length > 0 && page[page.length - 1] != '\n') {
+                throw new BadInput("a page that does not hold whole rows");
+            }
+            return page;
+        }
+
         private void note(Call call, Map<String, String> fields) {
             double value = Fields.number(fields.get("val"));
             switch (fields.getOrDefault("how", "")) {
@@ -354,14 +453,47 @@
             }
         }
 
+        /**
+         * What had not gone out never ran, and may try one more connection: new ones are reset at times. What had
+         * gone out may have run; whether the engine's process has ended or only this connection shows in another.
+         */
         @Override
         public void closed(Connection c) {
             engine.links.remove(this);
-            for (Call call : List.copyOf(calls.values())) {
-                boolean never = unsent.contains(call);
-                end(call, never ? Outcome.CONNECT_FAILED : Outcome.RESET, null);
-            }
+            links--;
+            List<Call> never = List.copyOf(unsent);
             unsent.clear();
+            for (Call call : never) {
+                if (c.wasReset() && call.dials < 2 && !engine.draining && calls.remove(call.attempt.request.id, call)) {
+                    place(engine, call);
+                } else {
+                    end(call, Outcome.CONNECT_FAILED, null);
+                }
+            }
+            List.copyOf(inDoubt).forEach(link -> link.endAll(Outcome.RESET));
+            if (spoilt) {
+                endAll(Outcome.SPOILT);
+            } else if (!calls.isEmpty()) {
+                doubt();
+            }
+        }
+
+        private void doubt() {
+            Link other = engine.links.stream().filter(l -> !l.connection.isConnected()).findFirst().orElse(null);
+            try {
+                other = other == null && !engine.draining ? new Link(engine) : other;
+            } catch (IOException e) {
+                LOG.warn("no connection to {}: {}", engine.address, e.toString());
+            }
+            if (other == null) {
+                endAll(Outcome.RESET);
+            } else {
+                other.inDoubt.add(this);
+            }
+        }
+
+        private void endAll(Outcome outcome) {
+            List.copyOf(calls.values()).forEach(call -> end(call, outcome, null));
         }
     }
 }
--- a/src/main/java/calicostream/platform/WarmUp.java
+++ b/src/main/java/calicostream/platform/WarmUp.java
@@ -94,6 +94,9 @@
     @Override
     public void withdrawn(long engine) { }
 
+    @Override
+    public void gone(long engine) { }
+
     @Override
     public void served(long tag, byte[] result) {
         answers += JsonRpc.result(tag, result).length > 0 ? 1 : 0;
--- a/src/test/java/calicostream/BehaviourTest.java
+++ b/src/test/java/calicostream/BehaviourTest.java
@@ -269,12 +269,43 @@
         for (int i = 0; i < 120; i++) {
             r.ask(i, 0, 0, 0, i % 24, 100 * MS);
             r.now += 10 * MS;
-            r.end(r.last(), Outcome.ERROR);
+            r.end(r.last(), Outcome.SPOILT);
         }
         long benched = r.logged.stream().distinct().count();
         assertTrue(benched > 0 && benched <= 3, r.logged.toString());
     }
 
+    @Test
+    void queryThatErrsOnTwoEnginesFailsByItsOwnFault() {
+        Recorder r = Recorder.with(4, LOOK);
+        for (int i = 0; i < 40; i++) {
+            r.ask(i, 0, 0, 0, i, 100 * MS);
+            long first = r.last().engine();
+            r.end(r.last(), Outcome.ERROR);
+            assertTrue(r.last(i) && r.last().engine() != first);
+            r.end(r.last(), Outcome.ERROR);
+            r.pass(10 * MS);
+        }
+        assertEquals(80, r.sent.size(), "two attempts each");
+        assertEquals(40, r.failed.size(), "asking again is no use");
+        assertTrue(r.logged.isEmpty(), "engines are not to blame: " + r.logged);
+    }
+
+    @Test
+    void connectionThatBreaksAloneIsNotHeldAgainstItsEngine() {
+        Recorder r = Recorder.with(Recorder.settings(50, LOOK), 1);
+        for (int i = 0; i < 60; i++) {
+            r.ask(i, 0, 0, 0, 1, 2 * S);
+            r.end(r.last(), i % 3 == 0 ? Outcome.SPOILT : Outcome.OK, 2000, 50);
+            if (i % 3 == 0) {
+                assertTrue(r.last(i), "it goes again");
+                r.end(r.last(), Outcome.OK, 2000, 50);
+            }
+            r.pass(100 * MS);
+        }
+        assertEquals(80, r.sent.size(), "neither benched nor held for cold");
+    }
+
     @Test
     void silenceAfterThisGatewayStoodStillIsNotHeldAgainstEngines() {
         Recorder still = Recorder.with(2, LOOK);
--- a/src/test/java/calicostream/RulesTest.java
+++ b/src/test/java/calicostream/RulesTest.java
@@ -275,7 +275,7 @@
             r.pass(10 * MS);
             if (r.last().attempt() == i) {
                 assertEquals(i + 1, r.sent.size());
-                r.end(r.last(), Outcome.ERROR);
+                r.end(r.last(), Outcome.SPOILT);
             }
         }
         assertEquals(3, r.sent.size());
--- a/src/test/java/calicostream/core/GatewayTest.java
+++ b/src/test/java/calicostream/core/GatewayTest.java
@@ -67,6 +67,11 @@
         public void withdrawn(long engine) {
             told.add("withdrawn " + engine);
         }
+
+        @Override
+        public void gone(long engine) {
+            told.add("gone " + engine);
+        }
     };
 
     private final Front front = new Front() {
--- a/src/test/java/calicostream/wire/Exchange.java
+++ b/src/test/java/calicostream/wire/Exchange.java
@@ -169,6 +169,8 @@
             engine.raw(bytes(text.substring(4)));
         } else if (text.equals("die")) {
             engine.die();
+        } else if (text.equals("reset")) {
+            engine.hangUp();
         } else if (text.equals("ended")) {
             assertTrue(engine.ended(), "the connection is still open");
             engine.hangUp();
--- a/src/test/java/calicostream/wire/RespStand.java
+++ b/src/test/java/calicostream/wire/RespStand.java
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 package calicostream.wire;
 
+import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.IOException;
@@ -8,62 +9,81 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.net.SocketException;
-import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 
-/** A stand-in engine that speaks RESP as a test tells it to, on the connections in the order they come. */
+/** A stand-in engine that speaks RESP as a test tells it to; commands come from all its connections in one line. */
 public final class RespStand implements AutoCloseable {
     private final ServerSocket server = new ServerSocket(0, 64, InetAddress.getLoopbackAddress());
-    private Socket connection;
-    private DataInputStream in;
+    private final BlockingQueue<Command> commands = new LinkedBlockingQueue<>();
+    private final Queue<Peer> peers = new ConcurrentLinkedQueue<>();
+    private final Map<String, Peer> asked = new ConcurrentHashMap<>();
+    private volatile Peer last;
+
+    private record Command(Peer from, String text) { }
+
+    private record Peer(Socket socket, CountDownLatch ended) { }
 
     public RespStand() throws IOException {
-        server.setSoTimeout((int) Program.PATIENCE_MS);
+        PlatformStand.daemon(() -> {
+            while (true) {
+                Peer peer = new Peer(server.accept(), new CountDownLatch(1));
+                peers.add(peer);
+                PlatformStand.daemon(() -> read(peer));
+            }
+        });
+    }
+
+    private void read(Peer peer) throws IOException {
+        try {
+            DataInputStream in = new DataInputStream(new BufferedInputStream(peer.socket.getInputStream()));
+            while (true) {
+                commands.add(new Command(peer, command(in)));
+            }
+        } finally {
+            peer.ended.countDown();
+        }
     }
 
     public InetSocketAddress address() {
         return new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
     }
 
-    /** The next command, its parts joined by '|'; the first comes on a connection accepted now. */
+    /** The next command, its parts joined by '|'; what is said of "the connection" is from now on its own. */
     public String command() throws IOException {
-        if (connection == null) {
-            connection = server.accept();
-            connection.setSoTimeout((int) Program.PATIENCE_MS);
-            in = new DataInputStream(connection.getInputStream());
+        Command next = next((int) Program.PATIENCE_MS);
+        if (next == null) {
+            throw new IOException("no command came");
         }
-        StringBuilder out = new StringBuilder();
-        int parts = count('*');
-        for (int i = 0; i < parts; i++) {
-            byte[] part = new byte[count('$')];
-            in.readFully(part);
-            in.readFully(new byte[2]);
-            out.append(i > 0 ? "|" : "").append(new String(part, StandardCharsets.UTF_8));
+        last = next.from;
+        String[] words = next.text.split("\\|", 3);
+        if (words[0].equals("REQ")) {
+            asked.put(words[1], next.from);
         }
-        return out.toString();
+        return next.text;
     }
 
     /** Whether nothing arrives for this long; for what must not be sent, after what came before was seen. */
     public boolean quiet(int millis) throws IOException {
-        int usual = server.getSoTimeout();
-        server.setSoTimeout(millis);
+        return next(millis) == null;
+    }
+
+    private Command next(int millis) throws IOException {
         try {
-            if (connection != null) {
-                connection.setSoTimeout(millis);
-                in.mark(1);
-                return in.read() < 0;
-            }
-            server.accept().close();
-            return false;
-        } catch (SocketTimeoutException e) {
-            return true;
-        } finally {
-            server.setSoTimeout(usual);
+            return commands.poll(millis, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            throw new IOException(e);
         }
     }
 
-    /** Answers; parts are separated by '|'. */
+    /** Answers on the connection on which this id was asked for; parts are separated by '|'. */
     public void answer(String parts) throws IOException {
         String[] each = parts.split("\\|", -1);
         ByteArrayOutputStream out = new ByteArrayOutputStream();
@@ -74,33 +94,40 @@
             out.writeBytes(raw);
             out.writeBytes("\r\n".getBytes(StandardCharsets.US_ASCII));
         }
-        raw(out.toString(StandardCharsets.UTF_8));
+        asked.getOrDefault(each[0], last).socket.getOutputStream().write(out.toByteArray());
     }
 
+    /** Bytes on the connection of the last command. */
     public void raw(String bytes) throws IOException {
-        connection.getOutputStream().write(bytes.getBytes(StandardCharsets.UTF_8));
+        last.socket.getOutputStream().write(bytes.getBytes(StandardCharsets.UTF_8));
     }
 
-    /** Resets the connection, as a process does that dies; the next command then comes on a new one. */
+    /** Resets the connection of the last command. */
     public void hangUp() throws IOException {
-        if (connection != null) {
-            connection.setSoLinger(true, 0);
-            connection.close();
-            connection = null;
+        reset(last);
+    }
+
+    private static void reset(Peer peer) throws IOException {
+        if (!peer.socket.isClosed()) {
+            peer.socket.setSoLinger(true, 0);
+            peer.socket.close();
         }
     }
 
+    /** Resets all connections and listens no more, as a process does that dies. */
     public void die() throws IOException {
-        hangUp();
         server.close();
+        for (Peer peer : peers) {
+            reset(peer);
+        }
     }
 
-    /** Whether the other side ends the connection. */
+    /** Whether the other side ends the connection of the last command. */
     public boolean ended() throws IOException {
         try {
-            return in.read() < 0;
-        } catch (SocketException e) {
-            return true;
+            return last.ended.await(Program.PATIENCE_MS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            throw new IOException(e);
         }
     }
 
@@ -109,7 +136,19 @@
         die();
     }
 
-    private int count(char type) throws IOException {
+    private static String command(DataInputStream in) throws IOException {
+        StringBuilder out = new StringBuilder();
+        int parts = count(in, '*');
+        for (int i = 0; i < parts; i++) {
+            byte[] part = new byte[count(in, '$')];
+            in.readFully(part);
+            in.readFully(new byte[2]);
+            out.append(i > 0 ? "|" : "").append(new String(part, StandardCharsets.UTF_8));
+        }
+        return out.toString();
+    }
+
+    private static int count(DataInputStream in, char type) throws IOException {
         int c = in.read();
         if (c != type) {
             throw new IOException(c < 0 ? "the connection ended" : "not " + type + " but " + (char) c);
