A reset new connection shows that its engine lives; errors are judged by who else serves; memory is shared out

In the trace of requests and ends (now at debug level) four of five engines were benched for RESET within 2 s at 7.84 to 9.30 s and held for cold for 14 s: some 4.5% of connections are reset under a request, and the one opened to see whether the engine lives was reset as well. The fifth engine answered 70% of its requests with an error within 4 ms and looked idle; queries erred there twice and failed. Ruled out: groups (errors spread over all), pages (none in 583), reuse (new and reused connections are reset alike). At fault: RespEngines.closed (any end before coming up was taken for a dead process), Logic.note (two errors of one engine made a query unusable), Logic.bench and eligible (trials one after another to an engine that errs at once).

Now a connection that is reset before it is up proves that somebody is there; two errors count against a query only from two engines without strikes; engines with strikes get neither loads nor second attempts while others have room.

--- a/src/main/java/calicostream/Logic.java
+++ b/src/main/java/calicostream/Logic.java
@@ -26,6 +26,7 @@
     static final int W1 = 6; // rank under which a set engine is chosen: warm tables are worth a wait
     static final int W2 = 3; // the same for an outsider, which has to read the tables first
     static final long SET_IDLE = 20_000_000; // us until an unused set member leaves (design page)
+    static final long GROUP_IDLE = 60_000_000; // us until an unused group is forgotten: past any deadline
     static final double ROOM = 1.9; // threads per told core at most: work done falls beyond one to two
     static final long TICK = 50_000; // us between ticks: short against the aims
     static final long STANDSTILL = 400_000; // us without a tick after which silence is our own
@@ -53,7 +54,9 @@
     static final double SILENCE_NOTES = 1.4; // periods of progress notes without one
     static final long BENCH_FIRST = 1_000_000; // us on the bench before a trial, doubled at each failed one
     static final long BENCH_LONGEST = 8_000_000; // us: shorter than most troubles, so recovery is seen
+    static final long TRIAL_GAP = 500_000; // us between trials: what errs at once would draw all
     static final int STRIKES = 3; // errors in a row that bench; a broken connection does so at once
+    static final double BROKEN_STRIKE = 0.4; // strikes for a broken connection: the network breaks them, too
     static final double SUSPECTS = 0.34; // of the fleet benched on suspicion at most: beyond that it is load
     static final double SLOWEST = 6; // slowdown that one answer may suggest: a stray one is no rule
 
@@ -81,9 +84,9 @@
         Engine entry;
         Group exclusive;
         double cores, ownThreads, others;
-        int strikes;
+        double strikes;
         boolean probing, benched, seen;
-        long reportAt = LONG_AGO, coldFrom = LONG_AGO, benchedUntil, bench = BENCH_FIRST;
+        long reportAt = LONG_AGO, coldFrom = LONG_AGO, benchedUntil, nextTrial, bench = BENCH_FIRST;
 
         Node(long id) {
             this.id = id;
@@ -98,6 +101,7 @@
         final List<Node> order = new ArrayList<>();
         int orderOf = -1;
         final double[] work = new double[2];
+        long usedAt;
         boolean overloaded;
 
         Group(int number) {
@@ -184,7 +188,7 @@
     private double ownThreads, smoothThreads, smoothQueries, fleetCores, usual, heaviest;
     private double slowdown = 1.3, meanWorth, meanCost;
     private int rosterChanges, benched, ownQueries;
-    private long reports, lastTick, lastQuery, awakeAt = LONG_AGO, askRosterAt = Long.MAX_VALUE;
+    private long reports, lastTick, lastQuery, forgetAt, awakeAt = LONG_AGO, askRosterAt = Long.MAX_VALUE;
 
     public Logic(Settings settings, Actions actions) {
         this.settings = settings;
@@ -264,6 +268,7 @@
         }
         Key key = spec.inOrder() && q.key() != 0 ? keys.computeIfAbsent(q.key(), k -> new Key()) : null;
         Group group = groups.computeIfAbsent(q.tableGroup(), Group::new);
+        group.usedAt = now;
         Job job = new Job(now, q, spec, known, group, key, overShare(now, q.tenant()));
         double worth = spec.worth() * (job.overShare ? settings.overShareWorth() : 1);
         job.value = worth / Math.max(cost, 1);
@@ -306,10 +311,16 @@
         return beyond;
     }
 
+    /** Groups of tables that something is kept for. */
+    int groupsKept() {
+        return groups.size();
+    }
+
     // ---- Guards: which engines a query may go to ----------------------------------------------------
     /** Set engines and the next outsiders that may take the query; doubtful ones only if no sound one may. */
     private List<Node> eligible(long now, Job job) {
         List<Node> out = new ArrayList<>();
+        List<Node> shy = new ArrayList<>();
         List<Node> despite = new ArrayList<>();
         boolean anySound = false;
         int outsiders = 0;
@@ -317,18 +328,24 @@
             boolean member = job.group.set.containsKey(n.id) || cold(n, now);
             if ((member || outsiders < SHORTLIST) && lawful(now, job, n)) {
                 boolean sound = !n.benched && n != job.avoid;
-                boolean due = n.benched && now >= n.benchedUntil && n.running.isEmpty();
-                if (due && n != job.avoid && job.spec.effect() == Effect.REPEATABLE) {
+                boolean due = n.benched && now >= Math.max(n.benchedUntil, n.nextTrial);
+                boolean trial = due && n.running.isEmpty() && n != job.avoid;
+                if (trial && job.spec.effect() == Effect.REPEATABLE) {
                     return List.of(n);
                 }
                 anySound |= sound;
                 outsiders += sound && !member ? 1 : 0;
                 if (room(now, job, n)) {
-                    (sound ? out : despite).add(n);
+                    (!sound ? despite : n.strikes == 0 || mayErr(job) ? out : shy).add(n);
                 }
             }
         }
-        return anySound ? out : despite;
+        return !anySound ? despite : out.isEmpty() ? shy : out;
+    }
+
+    /** An error at once costs little, but not a query that may not go again, nor one that has been tried. */
+    private static boolean mayErr(Job job) {
+        return job.attempts == 0 && job.spec.effect() == Effect.REPEATABLE;
     }
 
     /** All engines by a hash of group and engine: gateways lean the same way unasked, so tables stay warm. */
@@ -575,6 +592,7 @@
             n.coldSent.add(new double[] {now, weight(job)});
         }
         held.remove(job);
+        n.nextTrial = now + TRIAL_GAP;
         job.at = n;
         job.sentAt = now;
         job.newsAt = now;
@@ -700,9 +718,9 @@
             at.coldFrom = now; // It may come back before the roster tells of it.
             bench(now, at, outcome);
         } else if (outcome == Outcome.SPOILT || outcome == Outcome.TIMEOUT && at.benched) {
-            strike(now, at, outcome);
+            strike(now, at, outcome, outcome == Outcome.SPOILT ? BROKEN_STRIKE : 1);
         } else if (outcome == Outcome.ERROR) {
-            job.unusable = job.erredAt != null;
+            job.unusable = job.erredAt != null && job.erredAt != at && job.erredAt.strikes + at.strikes == 0;
             job.erredAt = at;
         } else if (outcome == Outcome.FULL) {
             view(now, at, 2 * ROOM * at.cores, 1);
@@ -712,7 +730,7 @@
                 forgive(at);
             }
             if (job.erredAt != null && job.erredAt != at) {
-                strike(now, job.erredAt, Outcome.ERROR);
+                strike(now, job.erredAt, Outcome.ERROR, 1);
             }
         }
     }
@@ -837,8 +855,9 @@
     }
 
     // ---- Health -------------------------------------------------------------------------------------
-    private void strike(long now, Node n, Object why) {
-        if (++n.strikes >= STRIKES) {
+    private void strike(long now, Node n, Object why, double weight) {
+        n.strikes += weight;
+        if (n.strikes >= STRIKES) {
             bench(now, n, why);
         }
     }
@@ -873,7 +892,7 @@
         double patience = notes > 0 ? SILENCE_NOTES * notes : SILENCE_RUNS * freshRun(job);
         boolean overdue = job.at != null && now - Math.max(job.newsAt, awakeAt) > patience;
         if (overdue && !job.cancelled && !job.done && !job.streaming) {
-            strike(now, job.at, "silent");
+            strike(now, job.at, "silent", 1);
             job.newsAt = now;
             if (mayMove(now, job) && now + freshRun(job) < job.due) {
                 stop(job);
@@ -937,5 +956,9 @@
         }
         expire(now);
         pump(now);
+        if (now >= forgetAt) { // Clients may name any number of groups.
+            forgetAt = now + GROUP_IDLE;
+            groups.values().removeIf(g -> g.loads.isEmpty() && now - g.usedAt > GROUP_IDLE);
+        }
     }
 }
--- a/src/main/java/calicostream/net/Connection.java
+++ b/src/main/java/calicostream/net/Connection.java
@@ -39,8 +39,8 @@
         this.loop = loop;
         this.channel = channel;
         this.handler = handler;
-        in = new Ring(boundIn);
-        out = new Ring(boundOut);
+        in = new Ring(boundIn, loop.held());
+        out = new Ring(boundOut, loop.held());
     }
 
     /** Takes over an accepted channel. */
@@ -147,6 +147,8 @@
         } catch (IOException e) {
             // The descriptor is gone either way.
         }
+        in.skip(in.size());
+        out.skip(out.size());
         handler.closed(this);
     }
 
--- a/src/main/java/calicostream/net/Loop.java
+++ b/src/main/java/calicostream/net/Loop.java
@@ -31,6 +31,8 @@
     private final Clock clock;
     private final Deadlines deadlines;
     private final Selector selector;
+    private final long mostHeld = Runtime.getRuntime().maxMemory() / 4;
+    private final Ring.Held held = new Ring.Held();
     private final ByteBuffer through = ByteBuffer.allocateDirect(THROUGH);
     private final ConcurrentLinkedQueue<Runnable> posted = new ConcurrentLinkedQueue<>();
     private final ArrayDeque<Runnable> soon = new ArrayDeque<>();
@@ -56,6 +58,16 @@
         return through;
     }
 
+    /** What all rings of this loop take, and what waits for room in them. */
+    public Ring.Held held() {
+        return held;
+    }
+
+    /** Whether they take so much that who holds more than a little must give it up. */
+    public boolean isCrowded() {
+        return held.bytes() > mostHeld;
+    }
+
     /** From any thread: runs on the loop's thread. */
     public void post(Runnable work) {
         posted.add(work);
--- a/src/main/java/calicostream/net/Ring.java
+++ b/src/main/java/calicostream/net/Ring.java
@@ -15,13 +15,33 @@
     private static final int FIRST = 512;
     private static final byte[] NONE = {};
     private final int bound;
+    private final Held held;
     private byte[] bytes = NONE;
     private int head;
     private int size;
 
+    /** Bytes of memory that many rings, and what waits for room in them, take together. */
+    public static final class Held {
+        private long bytes;
+
+        public void add(long count) {
+            bytes += count;
+        }
+
+        public long bytes() {
+            return bytes;
+        }
+    }
+
     /** The bound is a power of two of at least 512. */
     public Ring(int bound) {
+        this(bound, new Held());
+    }
+
+    /** The same, counted with others. */
+    public Ring(int bound, Held held) {
         this.bound = bound;
+        this.held = held;
     }
 
     public int size() {
@@ -65,7 +85,14 @@
     public void skip(int count) {
         size -= count;
         head = size == 0 ? 0 : head + count & bytes.length - 1;
-        bytes = size == 0 ? NONE : bytes;
+        if (size == 0) {
+            take(NONE);
+        }
+    }
+
+    private void take(byte[] memory) {
+        held.add(memory.length - bytes.length);
+        bytes = memory;
     }
 
     /** Takes all of it or, where the bound leaves no room, nothing. */
@@ -116,7 +143,7 @@
     private void grow(int wanted) {
         byte[] larger = new byte[Math.max(FIRST, Integer.highestOneBit(wanted - 1) * 2)];
         System.arraycopy(copy(0, size), 0, larger, 0, size);
-        bytes = larger;
+        take(larger);
         head = 0;
     }
 }
--- a/src/main/java/calicostream/platform/JsonRpcFront.java
+++ b/src/main/java/calicostream/platform/JsonRpcFront.java
@@ -27,12 +27,13 @@
     private static final int BOUND_OUT = 128 * 1024;
     private static final int MOST_OPEN = 32;
     private static final int LINES_A_TURN = 8; // of one client, before the others have their turn
-    private static final long HALF_LINE = 2_000_000; // us in which a client must have sent a whole line
+    private static final long HALF_LINE = 2_000_000; // us to end a line, or for a client never served to ask again
     private static final long REST = 8_000_000; // us without a request: usual clients close after half of it
     private static final long SAYS_SOON = 250_000; // us after which a client that connects has its reason to
     private static final long HEARD = 20_000; // us in which what a client sent has surely been read
     private static final long LOOK = 200_000; // us between looks for clients that stalled or rest
-    private static final double LONGEST_WAIT_MS = 3_600_000;
+    private static final int LITTLE = 8 * 1024; // bytes that one client may hold where memory is short
+    private static final long WAIT_FOLD = 10; // of the longest deadline: no client waits for that long
     private final Loop loop;
     private final Gateway gateway;
     private final List<String> classNames;
@@ -40,6 +41,7 @@
     private final Set<Client> clients = new HashSet<>();
     private final Set<String> openIds = new HashSet<>();
     private final UnaryOperator<byte[]> text;
+    private final double longestWaitMs;
     private Listener listener;
 
     /** A request taken and not answered, with the connection that waits for it. */
@@ -57,8 +59,10 @@
     }
 
     /** {@code text} turns a result, as the engine side gives it, into rows of text. */
-    JsonRpcFront(Loop loop, Gateway gateway, List<String> classNames, UnaryOperator<byte[]> text) {
+    JsonRpcFront(Loop loop, Gateway gateway, List<String> classNames, long longestDeadlineUs,
+            UnaryOperator<byte[]> text) {
         this.text = text;
+        longestWaitMs = WAIT_FOLD * Math.max(1000, longestDeadlineUs / 1000);
         this.loop = loop;
         this.gateway = gateway;
         this.classNames = classNames;
@@ -109,7 +113,11 @@
     // ---- Answers from the core ---------------------------------------------------------------------------
     @Override
     public void served(long tag, byte[] result) {
-        answer(tag, p -> JsonRpc.result(p.id, text.apply(result)));
+        Pending p = pending.get(tag);
+        if (p != null) {
+            p.client.served = true;
+        }
+        answer(tag, each -> JsonRpc.result(each.id, text.apply(result)));
     }
 
     @Override
@@ -147,7 +155,7 @@
         long restsSince = loop.clock().now();
         long lineSince;
         int scanned;
-        boolean asked;
+        boolean served;
 
         Client(SocketChannel channel) throws IOException {
             connection = Connection.accepted(loop, channel, this, BOUND_IN, BOUND_OUT);
@@ -158,21 +166,25 @@
         int need(long now) {
             boolean busy = !open.isEmpty() || !waiting.isEmpty() || connection.unsent() > 0;
             long rested = now - restsSince;
-            return busy || rested < HEARD ? NEEDED : asked ? 1 : rested > SAYS_SOON ? 0 : 2;
+            return busy || rested < HEARD ? NEEDED : served ? 1 : rested > SAYS_SOON ? 0 : 2;
         }
 
         /** A client that does not read gets no more read from it until its answers have gone. */
         void write(byte[] answer) {
-            if (!waiting.isEmpty() || !connection.write(answer)) {
+            if (!connection.isClosed() && (!waiting.isEmpty() || !connection.write(answer))) {
                 waiting.add(answer);
+                loop.held().add(answer.length);
                 connection.pause(true);
+                if (loop.isCrowded()) { // It will not read what it is owed, and others need the room.
+                    loop.soon(connection::close);
+                }
             }
         }
 
         @Override
         public void drained(Connection c) {
             while (!waiting.isEmpty() && c.write(waiting.peek())) {
-                waiting.poll();
+                loop.held().add(-waiting.poll().length);
             }
             if (waiting.isEmpty()) {
                 c.pause(false);
@@ -197,10 +209,12 @@
             }
             if (scanned < in.size()) {
                 c.again();
-            } else if (in.room() == 0) {
+            } else if (in.room() == 0 || in.size() > LITTLE && loop.isCrowded()) {
                 end("the line is too long");
             }
-            rests();
+            if (served) { // Who sends nothing that can be used has rested since it came.
+                rests();
+            }
         }
 
         private void end(String why) {
@@ -208,9 +222,9 @@
             connection.finish();
         }
 
-        /** From now on, unless a request is open; one that has asked nothing rests since it came. */
+        /** From now on, unless a request is open. */
         void rests() {
-            if (open.isEmpty() && asked) {
+            if (open.isEmpty()) {
                 restsSince = loop.clock().now();
             }
         }
@@ -221,15 +235,16 @@
             if (connection.isFinishing() || !open.isEmpty() || !waiting.isEmpty()) {
                 return;
             }
-            if (half && now - (asked ? lineSince : restsSince) > HALF_LINE) {
+            if (half && now - (served ? lineSince : restsSince) > HALF_LINE) {
                 end("the line did not end in time");
-            } else if (connection.in().size() == 0 && now - restsSince > (asked ? REST : HALF_LINE)) {
+            } else if (connection.in().size() == 0 && now - restsSince > (served ? REST : HALF_LINE)) {
                 connection.close();
             }
         }
 
         @Override
         public void closed(Connection c) {
+            waiting.forEach(each -> loop.held().add(-each.length));
             waiting.clear();
             clients.remove(this);
             listener.released();
@@ -245,7 +260,6 @@
             if (line.length == 0 || line.length == 1 && line[0] == '\r') {
                 return;
             }
-            asked = true;
             JsonRpc message;
             try {
                 message = JsonRpc.read(line);
@@ -262,6 +276,7 @@
             } else if (!hasId) {
                 write(JsonRpc.error(id, JsonRpc.INVALID_REQUEST, "the id is not a number from 1 up"));
             } else if (message.method.equals("check")) {
+                served = true;
                 write(JsonRpc.pass(id));
             } else if (!classNames.contains(message.method)) {
                 write(JsonRpc.error(id, JsonRpc.METHOD_NOT_FOUND, "no such method"));
@@ -273,9 +288,10 @@
         private void request(JsonRpc message, long id) {
             byte[] body = body(message.content);
             boolean usable = message.requestId != null && message.requestId.matches("[0-9a-f]{16}")
-                    && message.wait > 0 && message.wait <= LONGEST_WAIT_MS && body != null;
+                    && message.wait > 0 && message.wait <= longestWaitMs && body != null;
             if (open.containsKey(id) || id <= lastId && lastId - id > 4 * MOST_OPEN) {
-                write(JsonRpc.error(Long.toString(id), JsonRpc.INVALID_REQUEST, "the id was used before"));
+                // Under its number the answer would be taken for that of the request which is open.
+                write(JsonRpc.error("null", JsonRpc.INVALID_REQUEST, "the id was used before"));
                 return;
             }
             lastId = Math.max(lastId, id);
--- a/src/main/java/calicostream/platform/Node.java
+++ b/src/main/java/calicostream/platform/Node.java
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 package calicostream.platform;
 
+import calicostream.QueryRouter;
 import calicostream.QueryRouter.Settings;
 import calicostream.SettingsException;
 import calicostream.SettingsParser;
@@ -28,6 +29,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Node.class);
     private static final long SERVE_ON = 800_000; // us after SIGTERM in which clients may still come: 0.7 s at most
     private static final long LOOK_AGAIN = 20_000;
+    private static final long READ_LAST = 1_000_000; // us that clients have to read the last answers
     private static final long LONGEST_END_S = 30;
     private final Loop loop;
     private final JsonRpcFront front;
@@ -36,6 +38,7 @@
     private final NodeConfig config;
     private final ChangeLog log;
     private final Descriptors descriptors;
+    private long lastOpenAt;
     private final CountDownLatch done = new CountDownLatch(1);
 
     /** Flight SQL and syslog are off, and their classes not loaded, where their configuration is null. */
@@ -53,7 +56,8 @@
         Settings decided = flightEngines ? settings.settings().withoutNotes() : settings.settings();
         gateway = new Gateway(clock, loop.deadlines(), decided, watcher);
         flight = flightConfig == null ? null : new FlightFront(loop, gateway, flightConfig, settings);
-        front = new JsonRpcFront(loop, gateway, settings.classNames(), flight == null ? rows -> rows : flight::text);
+        front = new JsonRpcFront(loop, gateway, settings.classNames(), longestDeadline(decided),
+                flight == null ? rows -> rows : flight::text);
         Roster roster = new Roster(clock, settings.zoneNames(), settings.kindNames());
         Roster.Change known = roster.known(config.known());
         known.addresses().forEach(engines::locate);
@@ -65,6 +69,10 @@
         log.start();
     }
 
+    private static long longestDeadline(Settings settings) {
+        return settings.classes().stream().mapToLong(QueryRouter.QueryClass::deadlineUs).max().orElse(0);
+    }
+
     /**
      * On SIGHUP, off the loop's thread: reads the file anew and follows the change log at its new address, from
      * the last event seen on. Requests, connections and all else stay as they are, and so does everything where
@@ -103,6 +111,7 @@
     private void terminate() {
         loop.post(() -> {
             long stopAt = loop.clock().now() + SERVE_ON;
+            lastOpenAt = stopAt;
             loop.deadlines().add(stopAt, this::finish, 0);
         });
         try {
@@ -124,7 +133,8 @@
         } catch (IOException e) {
             LOG.warn("listener: {}", e.toString());
         }
-        if (gateway.open() == 0 && front.unsent() == 0) {
+        lastOpenAt = gateway.open() > 0 ? now : lastOpenAt;
+        if (gateway.open() == 0 && (front.unsent() == 0 || now - lastOpenAt > READ_LAST)) {
             loop.stop();
         } else {
             loop.deadlines().add(now + LOOK_AGAIN, this::finish, 0);
--- a/src/main/java/calicostream/platform/RespEngines.java
+++ b/src/main/java/calicostream/platform/RespEngines.java
@@ -31,6 +31,7 @@
     private static final int LONGEST_RESULT = 48_000;
     private static final int LONGEST_PAGE = 6_000;
     private static final long HALF_ANSWER = 500_000; // us: an answer comes in one piece, but for the network's hops
+    private static final long UNSENT = 250_000; // us after word of a drain in which what is queued may go out
     private static final long PAGE = 1_000_000; // us: a page waits on its engine, and nothing is left to be run
     private static final int MOST_STALE = 256;
     private static final double SILENT_NOTES = 1.25; // note periods without a byte after which a link is in doubt
@@ -64,6 +65,7 @@
     private final Map<Long, Engine> engines = new HashMap<>();
     private final int mostLinks;
     private int links;
+    private long linksMade;
     private Gateway gateway;
 
     /** At most so many connections to all engines together. */
@@ -119,6 +121,7 @@
     public void stop(Gateway.Attempt attempt) {
         if (attempt.link instanceof Call call && call.link.calls.remove(attempt.request.id, call)) {
             Link link = call.link;
+            LOG.debug("{} attempt {} given up on connection {}", attempt.request.id, attempt.number, link.number);
             if (!link.unsent.remove(call)) {
                 link.doubtful |= link.heardAt < call.writtenAt;
                 link.tell("STOP", attempt.request.id);
@@ -149,6 +152,14 @@
                 link.end(call, Outcome.CONNECT_FAILED, null);
             }));
             closeIdle(e);
+            loop.deadlines().add(loop.clock().now() + UNSENT, (now, ref) -> closeBlocked(e), 0);
+        }
+    }
+
+    /** What still waits for room in a socket would go out after the grace. */
+    private static void closeBlocked(Engine e) {
+        if (e.draining) {
+            List.copyOf(e.links).stream().filter(l -> l.connection.unsent() > 0).forEach(l -> l.connection.close());
         }
     }
 
@@ -198,6 +209,7 @@
     /** One connection to an engine and the attempts on it by request id. */
     private final class Link implements Connection.Handler {
         final Engine engine;
+        final long number = ++linksMade;
         final Map<String, Call> calls = new HashMap<>();
         final List<Call> unsent = new ArrayList<>();
         final Set<String> stale = new HashSet<>();
@@ -243,6 +255,7 @@
                     + ",urgency=" + a.request.priority();
             boolean sent = connection.write(Resp.array(Resp.ascii("REQ"), Resp.ascii(a.request.id),
                     Resp.ascii(fields), a.request.body));
+            LOG.debug("{} attempt {} to {} by connection {}", a.request.id, a.number, engine.address, number);
             if (!sent) { // The ring is full: not a byte of it went out.
                 end(call, Outcome.FULL, null);
             }
@@ -271,6 +284,9 @@
                 if (outcome != Outcome.OK) { // Another attempt of it must not take a second copy for its own answer.
                     stale(call.attempt.request.id);
                 }
+                call.pages = null;
+                LOG.debug("{} attempt {} ends {} on connection {}", call.attempt.request.id, call.attempt.number, outcome,
+                        number);
                 rested();
                 gateway.ended(call.attempt, outcome, call.report, result);
             }
@@ -459,6 +475,7 @@
          */
         @Override
         public void closed(Connection c) {
+            LOG.debug("connection {} to {} closed under {}", number, engine.address, calls.keySet());
             engine.links.remove(this);
             links--;
             List<Call> never = List.copyOf(unsent);
@@ -470,7 +487,8 @@
                     end(call, Outcome.CONNECT_FAILED, null);
                 }
             }
-            List.copyOf(inDoubt).forEach(link -> link.endAll(Outcome.RESET));
+            inDoubt.forEach(link -> link.endAll(c.wasReset() ? Outcome.SPOILT : Outcome.RESET)); // Somebody was there.
+            inDoubt.clear();
             if (spoilt) {
                 endAll(Outcome.SPOILT);
             } else if (!calls.isEmpty()) {
--- a/src/main/java/calicostream/platform/Statement.java
+++ b/src/main/java/calicostream/platform/Statement.java
@@ -20,6 +20,7 @@
     private boolean tablePlace, inList;
     private String lastWord = "";
     private long selects = 1; // a bit for each open parenthesis, innermost lowest: whether it holds a SELECT
+    private int quotesToSeek = 64; // each may be sought through all that follows
     private int inTable = -1;
     private int elsewhere = -1;
 
@@ -104,7 +105,7 @@
         while (end < sql.length && (sql[end] == '_' || Character.isLetterOrDigit(sql[end]))) {
             end++;
         }
-        if (end >= sql.length || sql[end] != '$') {
+        if (end >= sql.length || sql[end] != '$' || quotesToSeek-- <= 0) {
             return false;
         }
         int length = end + 1 - at;
--- a/src/test/java/calicostream/BehaviourTest.java
+++ b/src/test/java/calicostream/BehaviourTest.java
@@ -291,6 +291,51 @@
         assertTrue(r.logged.isEmpty(), "engines are not to blame: " + r.logged);
     }
 
+    @Test
+    void engineThatErrsNowAndThenGetsNeitherLoadsNorSecondAttempts() {
+        Recorder r = Recorder.with(3, LOOK, look(Effect.ONCE));
+        for (int i = 0; i < 30; i++) {
+            r.ask(i, 0, 0, 0, i, 100 * MS);
+            boolean errs = r.last().engine() == 1;
+            r.end(r.last(), errs ? Outcome.ERROR : Outcome.OK, 100, 50);
+            if (errs) {
+                assertTrue(r.last(i) && r.last().engine() != 1, "the second attempt goes elsewhere");
+                r.end(r.last(), Outcome.OK, 100, 50);
+                r.ask(1000 + i, 1, 0, 0, i, 100 * MS);
+                assertTrue(r.last().engine() != 1, "a load that errs may not go again");
+                r.end(r.last(), Outcome.OK, 100, 50);
+            }
+            r.pass(10 * MS);
+        }
+    }
+
+    @Test
+    void queryThatMeetsTwoFailingEnginesIsNotToBlame() {
+        Recorder r = Recorder.with(5, LOOK);
+        r.ask(1, 0, 0, 0, 7, 100 * MS);
+        long failing = r.last().engine();
+        r.end(r.last(), Outcome.ERROR);
+        r.end(r.last(), Outcome.OK, 100, 50);
+        r.ask(2, 0, 0, 0, 7, 100 * MS);
+        assertEquals(failing, r.last().engine());
+        r.end(r.last(), Outcome.ERROR);
+        long other = r.last().engine();
+        r.end(r.last(), Outcome.ERROR);
+        assertTrue(r.last(2) && r.last().engine() != failing && r.last().engine() != other);
+        assertTrue(r.failed.isEmpty());
+    }
+
+    @Test
+    void groupsThatNobodyNamesAnyMoreAreForgotten() {
+        Recorder r = Recorder.with(4, LOOK);
+        for (int i = 0; i < 3000; i++) {
+            r.ask(i, 0, 0, 0, i, 100 * MS);
+            r.end(r.last(), Outcome.OK, 100, 50);
+            r.pass(100 * MS);
+        }
+        assertTrue(r.logic.groupsKept() <= 1300, r.logic.groupsKept() + " of 3000 in five minutes");
+    }
+
     @Test
     void connectionThatBreaksAloneIsNotHeldAgainstItsEngine() {
         Recorder r = Recorder.with(Recorder.settings(50, LOOK), 1);
--- a/src/test/java/calicostream/platform/RespTest.java
+++ b/src/test/java/calicostream/platform/RespTest.java
@@ -60,6 +60,14 @@
         assertTrue(ring.held() >= 70_000 && ring.held() <= 1 << 17);
         ring.skip(70_000);
         assertEquals(0, ring.held());
+        Ring.Held all = new Ring.Held();
+        Ring one = new Ring(4096, all);
+        Ring other = new Ring(4096, all);
+        assertTrue(one.put(new byte[600]) && other.put(new byte[3000]));
+        assertEquals(one.held() + other.held(), all.bytes());
+        one.skip(600);
+        other.skip(3000);
+        assertEquals(0, all.bytes());
     }
 
     @ParameterizedTest
--- a/src/test/java/calicostream/platform/StatementTest.java
+++ b/src/test/java/calicostream/platform/StatementTest.java
@@ -2,8 +2,11 @@
 package calicostream.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTimeout;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -31,4 +34,14 @@
         String[] parts = groupAndSql.split(" \\| ", 2);
         assertEquals(Integer.parseInt(parts[0]), Statement.tableGroup(parts[1].getBytes(StandardCharsets.UTF_8)));
     }
+
+    @Test
+    void quotesThatNeverEndCostNoMoreThanOthers() {
+        StringBuilder sql = new StringBuilder("select ");
+        for (int i = 0; i < 30_000; i++) {
+            sql.append("$a").append(i).append('$');
+        }
+        byte[] text = sql.append(" from sales_17.orders").toString().getBytes(StandardCharsets.UTF_8);
+        assertTimeout(Duration.ofSeconds(2), () -> Statement.tableGroup(text));
+    }
 }
