--- a/src/main/java/calicostream/Logic.java
+++ b/src/main/java/calicostream/Logic.java
@@ -131,8 +131,8 @@
 
     private static final class Learned {
         final Bias cost = new Bias(), memory = new Bias();
-        double usual;
-        int seen;
+        double usual, run;
+        int seen, runs;
     }
 
     /** Queries of one key in the order accepted, and what must settle before the next may start. */
@@ -157,7 +157,7 @@
         Node at, avoid, erredAt;
         Engine riskAt;
         long sentAt, newsAt, riskUntil, lookedAt = LONG_AGO;
-        boolean cancelled, mayHaveRun, streaming, done, late, unusable;
+        boolean cancelled, mayHaveRun, streaming, done, late, unusable, moved;
 
         Job(long now, Query query, QueryClass spec, Learned learned, Group group, Key key, boolean beyond) {
             this.query = query;
@@ -659,7 +659,8 @@
     private void judge(long now, Job job, double share) {
         double left = (now - job.sentAt) * (1 - share) / share;
         double doubt = MOVE_GAIN * Math.exp(Math.sqrt(job.learned.cost.spread));
-        if (left > doubt * freshRun(job) && mayMove(now, job)) {
+        if (left > doubt * Math.max(freshRun(job), job.learned.run) && !job.moved && mayMove(now, job)) {
+            job.moved = true; // As slow on another engine, it is the query that is long.
             stop(job);
         } else if (now + left * HOPELESS > job.deadline && settings.limits().cancel()) {
             finish(now, job, false);
@@ -737,6 +738,7 @@
 
     private void learn(Job job, Node at, AttemptEnd end) {
         Learned known = job.learned;
+        known.run += (end.elapsedUs() - known.run) * Math.max(LEARN, 1.0 / ++known.runs);
         double work = end.workMs() * 1000;
         if (work > 0) {
             double time = end.elapsedUs() * job.spec.threads();
--- a/src/main/java/calicostream/Main.java
+++ b/src/main/java/calicostream/Main.java
@@ -32,7 +32,7 @@
 
     private static void serve() throws IOException {
         Hangup hangup = Hangup.taken();
-        // Looking for a provider of logs opens every jar of the class path, and each stays open for good.
+        // Looking for a provider of logs goes through every jar of the class path.
         System.setProperty("slf4j.provider", "org.slf4j.simple.SimpleServiceProvider");
         System.setProperty("slf4j.internal.verbosity", "WARN");
         try {
--- a/src/main/java/calicostream/net/Connection.java
+++ b/src/main/java/calicostream/net/Connection.java
@@ -96,6 +96,13 @@
         return true;
     }
 
+    /** Writes what is queued now, as something else that goes out in this turn must come after it. */
+    public void flushNow() {
+        if (!connecting) {
+            flush();
+        }
+    }
+
     /** Goes on with what is in the ring once every other channel has had its turn. */
     public void again() {
         loop.nextTurn(() -> handle(in.size() > 0));
--- a/src/main/java/calicostream/platform/RespEngines.java
+++ b/src/main/java/calicostream/platform/RespEngines.java
@@ -125,6 +125,7 @@
             if (!link.unsent.remove(call)) {
                 link.doubtful |= link.heardAt < call.writtenAt;
                 link.tell("STOP", attempt.request.id);
+                link.connection.flushNow(); // Before the next attempt, whose connection may have bytes queued already.
                 link.stale(attempt.request.id);
             }
             link.rested();
--- a/src/test/java/calicostream/BehaviourTest.java
+++ b/src/test/java/calicostream/BehaviourTest.java
@@ -325,6 +325,34 @@
         assertTrue(r.failed.isEmpty());
     }
 
+    @Test
+    void queryThatIsAsSlowElsewhereIsLongItselfAndStays() {
+        Recorder r = Recorder.with(4, LOOK);
+        r.ask(1, 0, 0, 0, 0, 100 * MS);
+        r.now += 450 * MS;
+        r.logic.progress(r.now, new Progress(1, 0, Notice.SHARE_DONE, 0.1));
+        assertEquals(1, r.cancelled.size());
+        r.end(r.last(), Outcome.CANCELLED);
+        assertEquals(1, r.last().attempt());
+        r.now += 450 * MS;
+        r.logic.progress(r.now, new Progress(1, 1, Notice.SHARE_DONE, 0.1));
+        assertEquals(1, r.cancelled.size(), "moved once");
+    }
+
+    @Test
+    void runIsJudgedByWhatRunsOfItsClassTakeWhereNoWorkIsTold() {
+        Recorder r = Recorder.with(4, LOOK);
+        for (int i = 0; i < 20; i++) {
+            r.ask(i, 0, 0, 0, i, 0);
+            r.now += 3 * S;
+            r.end(r.last(), Outcome.OK);
+        }
+        r.ask(100, 0, 0, 0, 1, 0);
+        r.now += 1 * S;
+        r.logic.progress(r.now, new Progress(100, 0, Notice.SHARE_DONE, 0.18));
+        assertTrue(r.cancelled.isEmpty(), "4.6 s more is nothing unusual");
+    }
+
     @Test
     void groupsThatNobodyNamesAnyMoreAreForgotten() {
         Recorder r = Recorder.with(4, LOOK);
