--- a/src/main/java/calicostream/Hangup.java
+++ b/src/main/java/calicostream/Hangup.java
@@ -1,11 +1,12 @@
 // SPDX-License-Identifier: Apache-2.0
 package calicostream;
 
-import sun.misc.Signal;
+import java.lang.reflect.Proxy;
 
 /**
  * SIGHUP, on which a virtual machine ends unless somebody else takes it. It is taken from the program's first
- * moment; one that comes before there is anything to tell is told later.
+ * moment; one that comes before there is anything to tell is told later. The handler of signals is no part of
+ * Java's standard, and the compiler warns of its mere name, so it is looked up.
  */
 final class Hangup {
     private Runnable told;
@@ -15,7 +16,21 @@
 
     static Hangup taken() {
         Hangup hangup = new Hangup();
-        Signal.handle(new Signal("HUP"), signal -> hangup.came());
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object told = Proxy.newProxyInstance(Hangup.class.getClassLoader(), new Class<?>[] {handler},
+                    (proxy, method, args) -> {
+                        if (method.getName().equals("handle")) {
+                            hangup.came();
+                        }
+                        return null;
+                    });
+            signal.getMethod("handle", signal, handler).invoke(null,
+                    signal.getConstructor(String.class).newInstance("HUP"), told);
+        } catch (ReflectiveOperationException e) {
+            throw new SettingsException("this Java can't take SIGHUP: " + e);
+        }
         return hangup;
     }
 
--- a/src/main/java/calicostream/Main.java
+++ b/src/main/java/calicostream/Main.java
@@ -31,11 +31,11 @@
     }
 
     private static void serve() throws IOException {
-        Hangup hangup = Hangup.taken();
         // Looking for a provider of logs goes through every jar of the class path.
         System.setProperty("slf4j.provider", "org.slf4j.simple.SimpleServiceProvider");
         System.setProperty("slf4j.internal.verbosity", "WARN");
         try {
+            Hangup hangup = Hangup.taken();
             String path = System.getenv("NODE_CONFIG");
             if (path == null) {
                 throw new SettingsException("bad configuration: NODE_CONFIG is not set");
