--- a/src/main/java/calicostream/Logic.java
+++ b/src/main/java/calicostream/Logic.java
@@ -902,6 +902,12 @@
         }
     }
 
+    @Override
+    public boolean avoids(long engine) {
+        Node n = nodes.get(engine);
+        return n != null && n.benched;
+    }
+
     // ---- Reports ------------------------------------------------------------------------------------
     @Override
     public void probed(long now, long engine, Outcome outcome, Report report) {
--- a/src/main/java/calicostream/QueryRouter.java
+++ b/src/main/java/calicostream/QueryRouter.java
@@ -44,6 +44,9 @@
     /** A probe asked for with {@link Actions#probe} ended; {@code report} is null when none came. */
     void probed(long now, long engine, Outcome outcome, Report report);
 
+    /** Whether the module leaves this engine out by its own choice, but for trials. */
+    boolean avoids(long engine);
+
     /** What the module asks of the gateway. Each takes effect at once, in the order called. */
     interface Actions {
         /** Starts the query's next attempt (0, 1, 2 ...) on an engine; stop waiting at {@code giveUpAt}. */
--- /dev/null
+++ b/src/main/java/calicostream/admin/AdminFront.java
@@ -0,0 +1,162 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.admin;
+
+import calicostream.net.Connection;
+import calicostream.net.Listener;
+import calicostream.net.Loop;
+import calicostream.net.Ring;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * The operators' address: HTTP/1.1, one call a connection. The loop serves it before all else, so that a call is
+ * answered in time however busy the front end is.
+ */
+public final class AdminFront implements Listener.Taker {
+    /** Descriptors kept for callers. */
+    public static final int MOST = 16;
+    private static final int LONGEST_HEAD = 4096;
+    private static final int BOUND_OUT = 64 * 1024;
+    private static final long PATIENCE = 2_000_000; // us to send a whole call: callers wait for half of it
+    private static final long SPEAKS = 100_000; // us in which a caller surely has begun to
+    private static final Pattern LINE = Pattern.compile("([A-Z]+) (/\\S*) HTTP/1\\.\\d");
+    private final Loop loop;
+    private final Operator operator;
+    private final Set<Caller> callers = new LinkedHashSet<>(); // the oldest first
+    private Listener listener;
+
+    public AdminFront(Loop loop, Operator operator) {
+        this.loop = loop;
+        this.operator = operator;
+    }
+
+    public void listen(InetSocketAddress at) throws IOException {
+        listener = Listener.urgent(loop, at, MOST, this);
+    }
+
+    public int port() throws IOException {
+        return listener.port();
+    }
+
+    @Override
+    public void accepted(SocketChannel channel) throws IOException {
+        new Caller(channel);
+    }
+
+    /** Who has its answer goes first, then who keeps silent for longest. */
+    @Override
+    public boolean spareOne() {
+        long now = loop.clock().now();
+        Caller spared = callers.stream().filter(c -> c.answered).findFirst().orElseGet(() -> callers.stream()
+                .filter(c -> now - c.since > SPEAKS).findFirst().orElse(null));
+        if (spared != null) {
+            spared.connection.close();
+        }
+        return spared != null;
+    }
+
+    private record Reply(int status, String reason, String type, String body, String more) {
+        static Reply text(int status, String reason) {
+            return new Reply(status, reason, "text/plain", reason + "\n", "");
+        }
+
+        byte[] bytes() {
+            byte[] content = body.getBytes(StandardCharsets.UTF_8);
+            return ("HTTP/1.1 " + status + " " + reason + "\r\nContent-Type: " + type + "\r\nContent-Length: "
+                    + content.length + "\r\nCache-Control: no-store\r\n" + more + "Connection: close\r\n\r\n" + body)
+                    .getBytes(StandardCharsets.UTF_8);
+        }
+    }
+
+    private Reply reply(String line) {
+        Matcher call = LINE.matcher(line);
+        if (!call.matches()) {
+            return Reply.text(400, "Bad Request");
+        }
+        String method = call.group(1);
+        String path = call.group(2).replaceFirst("\\?.*", "");
+        if (!path.equals("/-/ready") && !path.equals("/-/metrics")) {
+            return Reply.text(404, "Not Found");
+        }
+        if (!method.equals("GET")) {
+            return notAllowed("GET");
+        }
+        if (path.equals("/-/metrics")) {
+            return new Reply(200, "OK", "application/json", operator.figures() + "\n", "");
+        }
+        return operator.isReady() ? Reply.text(200, "OK") : Reply.text(503, "Service Unavailable");
+    }
+
+    private static Reply notAllowed(String allowed) {
+        return new Reply(405, "Method Not Allowed", "text/plain", "Method Not Allowed\n", "Allow: " + allowed + "\r\n");
+    }
+
+    /** One caller and its one call. */
+    private final class Caller implements Connection.Handler {
+        final Connection connection;
+        final long since = loop.clock().now();
+        boolean answered;
+
+        Caller(SocketChannel channel) throws IOException {
+            connection = Connection.urgent(loop, channel, this, LONGEST_HEAD, BOUND_OUT);
+            callers.add(this);
+            loop.deadlines().add(since + PATIENCE, (now, ref) -> {
+                if (!answered && !connection.isClosed()) {
+                    late();
+                }
+            }, 0);
+        }
+
+        private void late() {
+            if (connection.in().size() > 0) {
+                answer(Reply.text(408, "Request Timeout"));
+            } else {
+                connection.close();
+            }
+        }
+
+        @Override
+        public void received(Connection c) {
+            Ring in = c.in();
+            int lineEnd = in.indexOf((byte) '\n', 0);
+            if (answered || lineEnd < 0 && in.room() > 0) {
+                return;
+            }
+            if (lineEnd >= 0 && hasEnded(in)) {
+                answer(reply(new String(in.copy(0, lineEnd), StandardCharsets.ISO_8859_1).stripTrailing()));
+            } else if (in.room() == 0) {
+                answer(Reply.text(431, "Request Header Fields Too Large"));
+            }
+        }
+
+        /** Whether an empty line has come. */
+        private boolean hasEnded(Ring in) {
+            for (int at = in.indexOf((byte) '\n', 0); at >= 0; at = in.indexOf((byte) '\n', at + 1)) {
+                int next = at + 1 < in.size() && in.at(at + 1) == '\r' ? at + 2 : at + 1;
+                if (next < in.size() && in.at(next) == '\n') {
+                    return true;
+                }
+            }
+            return false;
+        }
+
+        private void answer(Reply reply) {
+            answered = true;
+            connection.write(reply.bytes());
+            connection.flushNow();
+            connection.finish();
+        }
+
+        @Override
+        public void closed(Connection c) {
+            callers.remove(this);
+            listener.released();
+        }
+    }
+}
--- a/src/main/java/calicostream/core/Gateway.java
+++ b/src/main/java/calicostream/core/Gateway.java
@@ -97,6 +97,7 @@
     private final Slots<Attempt> attempts = new Slots<>();
     private final Map<Long, QueryRouter.Engine> roster = new HashMap<>();
     private final ArrayDeque<End> ends = new ArrayDeque<>();
+    private final Figures figures;
     private final Deadlines.Target moduleTimer = (now, token) -> tell(r -> r.timer(now, token));
     private final Deadlines.Target attemptDue = this::attemptDue;
     private final Deadlines.Target requestDue = this::requestDue;
@@ -110,6 +111,7 @@
         this.settings = settings;
         this.watcher = watcher;
         router = new Logic(settings, this);
+        figures = new Figures(settings.classes().size());
     }
 
     /** Starts the module with the engines last known. */
@@ -149,6 +151,26 @@
         return requests.size();
     }
 
+    /** A request turned away before it could be taken, for what it asks of this front end at once. */
+    public void turnedAway(int queryClass) {
+        figures.ended(queryClass, Ending.REFUSED);
+    }
+
+    // ---- For the operators ----------------------------------------------------------------------------
+    public Figures figures() {
+        return figures;
+    }
+
+    /** Engines in the list, whatever their state. */
+    public int listed() {
+        return roster.size();
+    }
+
+    /** Of these, the ones left out now, each counted once. */
+    public int avoided() {
+        return (int) roster.keySet().stream().filter(router::avoids).count();
+    }
+
     // ---- From the engine side -------------------------------------------------------------------------
     /** An attempt ended. Late word on one that had ended already is ignored. */
     public void ended(Attempt attempt, QueryRouter.Outcome outcome, QueryRouter.Report report, byte[] result) {
@@ -158,6 +180,11 @@
         }
     }
 
+    /** The last byte of an attempt has been written to its engine, whatever has become of it since. */
+    public void written(Attempt attempt) {
+        figures.tried();
+    }
+
     /** News of an attempt that still runs. */
     public void progress(Attempt attempt, QueryRouter.Notice notice, double amount) {
         if (attempts.get(attempt.handle) != null) {
@@ -299,6 +326,7 @@
     /** Marks the one final answer; the slot lives on while an attempt is out, so that its end finds it. */
     private void close(Request request, Ending ending) {
         request.answered = true;
+        figures.ended(request.queryClass, ending);
         watcher.answered(request.id, request.queryClass, ending, request.attempts, clock.now() - request.takenAt);
         requests.remove(request.handle);
         if (request.out != null) {
--- a/src/main/java/calicostream/grpc/Channels.java
+++ b/src/main/java/calicostream/grpc/Channels.java
@@ -68,7 +68,7 @@
         if (peer == null) {
             gateway.ended(attempt, Outcome.CONNECT_FAILED, null, null);
         } else if (peer.channel.getState(true) == ConnectivityState.READY) {
-            begin.accept(peer.channel);
+            begin(peer, attempt, begin);
         } else {
             Waiting waiting = new Waiting(attempt, begin);
             peer.waiting.add(waiting);
@@ -105,6 +105,11 @@
         peers.values().forEach(peer -> peer.channel.shutdownNow());
     }
 
+    private void begin(Peer peer, Gateway.Attempt attempt, Consumer<ManagedChannel> begin) {
+        begin.accept(peer.channel);
+        gateway.written(attempt); // gRPC tells no more than that the call went to a channel which is up.
+    }
+
     private void takeBack(Peer peer) {
         List.copyOf(peer.waiting).forEach(each -> fail(peer, each));
     }
@@ -120,7 +125,7 @@
         if (state == ConnectivityState.READY) {
             List<Waiting> ready = List.copyOf(peer.waiting);
             peer.waiting.clear();
-            ready.forEach(each -> each.begin.accept(peer.channel));
+            ready.forEach(each -> begin(peer, each.attempt, each.begin));
         } else if (state == ConnectivityState.TRANSIENT_FAILURE && peer.seen == ConnectivityState.CONNECTING) {
             takeBack(peer);
         }
--- a/src/main/java/calicostream/net/Connection.java
+++ b/src/main/java/calicostream/net/Connection.java
@@ -20,7 +20,7 @@
         /** New bytes are in the ring; take what is whole. */
         void received(Connection connection);
 
-        /** The ring out has room again after it was too full for something. */
+        /** Bytes went out, so the ring out has room again. */
         default void drained(Connection connection) { }
 
         void closed(Connection connection);
@@ -32,8 +32,9 @@
     private final Ring in;
     private final Ring out;
     private SelectionKey key;
-    private boolean connecting, closed, paused, flushing;
+    private boolean connecting, closed, paused, flushing, urgent;
     private boolean closeWhenFlushed, lingering, reset;
+    private long queued, written; // bytes since it was opened
 
     private Connection(Loop loop, SocketChannel channel, Handler handler, int boundIn, int boundOut) {
         this.loop = loop;
@@ -51,6 +52,14 @@
         return c;
     }
 
+    /** The same, served before all that is not urgent. */
+    public static Connection urgent(Loop loop, SocketChannel channel, Handler handler, int boundIn, int boundOut)
+            throws IOException {
+        Connection c = accepted(loop, channel, handler, boundIn, boundOut);
+        c.urgent = true;
+        return c;
+    }
+
     /** Starts to connect; a failure, also one at once, is told as {@link Handler#closed}, never from in here. */
     public static Connection to(Loop loop, InetSocketAddress address, Handler handler, int boundIn, int boundOut)
             throws IOException {
@@ -71,6 +80,15 @@
         return in;
     }
 
+    /** Bytes queued since it was opened, and those of them that the socket has taken. */
+    public long queued() {
+        return queued;
+    }
+
+    public long written() {
+        return written;
+    }
+
     /** Bytes queued that the socket has not taken. */
     public int unsent() {
         return out.size();
@@ -89,6 +107,7 @@
         if (closed || !out.put(bytes)) {
             return false;
         }
+        queued += bytes.length;
         if (!connecting && !flushing) { // One write for all that is queued in this turn of the loop.
             flushing = true;
             loop.soon(this::flush);
@@ -187,6 +206,11 @@
         }
     }
 
+    @Override
+    public boolean isUrgent() {
+        return urgent;
+    }
+
     private void connect() throws IOException {
         try {
             if (channel.finishConnect()) {
@@ -220,9 +244,9 @@
             return;
         }
         try {
-            int before = out.size();
-            out.drain(channel, loop.through());
-            if (out.size() < before) {
+            int count = out.drain(channel, loop.through());
+            written += count;
+            if (count > 0) {
                 handler.drained(this);
             }
             if (out.size() == 0 && closeWhenFlushed && !lingering && !closed) {
--- a/src/main/java/calicostream/net/Listener.java
+++ b/src/main/java/calicostream/net/Listener.java
@@ -27,12 +27,23 @@
     private final Loop loop;
     private final ServerSocketChannel channel;
     private final SelectionKey key;
-    private final int most;
+    private final boolean urgent;
+    private int most;
     private final Taker taker;
     private int open;
 
     public Listener(Loop loop, InetSocketAddress at, int most, Taker taker) throws IOException {
+        this(loop, at, most, taker, false);
+    }
+
+    /** One whose connections are taken before all that is not urgent. */
+    public static Listener urgent(Loop loop, InetSocketAddress at, int most, Taker taker) throws IOException {
+        return new Listener(loop, at, most, taker, true);
+    }
+
+    private Listener(Loop loop, InetSocketAddress at, int most, Taker taker, boolean urgent) throws IOException {
         this.loop = loop;
+        this.urgent = urgent;
         this.most = most;
         this.taker = taker;
         channel = ServerSocketChannel.open();
@@ -61,6 +72,11 @@
         channel.close();
     }
 
+    @Override
+    public boolean isUrgent() {
+        return urgent;
+    }
+
     @Override
     public void ready() {
         try {
--- a/src/main/java/calicostream/net/Loop.java
+++ b/src/main/java/calicostream/net/Loop.java
@@ -20,10 +20,17 @@
     private static final Logger LOG = LoggerFactory.getLogger(Loop.class);
     private static final int THROUGH = 32 * 1024; // bytes that pass in one go: also the most read in one turn
 
+    private static final long LOOK_AGAIN = 5_000_000; // ns of work after which urgent channels are served again
+
     /** What a selection key's attachment does when its channel is ready. */
     interface Ready {
         void ready() throws IOException;
 
+        /** Whether it is served before all that is not. */
+        default boolean isUrgent() {
+            return false;
+        }
+
         /** It could not go on: what it was doing is given up, so that it does not spin. */
         void broken();
     }
@@ -38,6 +45,7 @@
     private final ArrayDeque<Runnable> soon = new ArrayDeque<>();
     private List<Runnable> nextTurn = new ArrayList<>();
     private boolean stopped;
+    private long lookedAt; // ns: when urgent channels were last looked for
 
     public Loop(Clock clock, Deadlines deadlines) throws IOException {
         this.clock = clock;
@@ -97,20 +105,26 @@
     public void run() throws IOException {
         while (!stopped) {
             long wait = deadlines.next() - clock.now();
-            if (!posted.isEmpty() || !nextTurn.isEmpty() || wait <= 0) {
+            if (!posted.isEmpty() || !nextTurn.isEmpty() || wait <= 0 || !selector.selectedKeys().isEmpty()) {
                 selector.selectNow();
             } else {
                 selector.select(wait == Deadlines.NEVER ? 0 : Math.max(1, Math.min(wait / 1000, 1000)));
             }
-            for (SelectionKey key : selector.selectedKeys()) {
+            serveUrgent();
+            List<SelectionKey> keys = List.copyOf(selector.selectedKeys());
+            selector.selectedKeys().clear();
+            for (SelectionKey key : keys) {
                 if (key.isValid()) {
                     ready((Ready) key.attachment());
+                    lookAgain();
                 }
             }
-            selector.selectedKeys().clear();
             List<Runnable> turn = nextTurn;
             nextTurn = new ArrayList<>();
-            turn.forEach(Loop::guarded);
+            for (Runnable work : turn) {
+                guarded(work);
+                lookAgain();
+            }
             for (Runnable work = posted.poll(); work != null; work = posted.poll()) {
                 guarded(work);
             }
@@ -122,6 +136,25 @@
         selector.close();
     }
 
+    private void serveUrgent() {
+        selector.selectedKeys().removeIf(key -> {
+            boolean urgent = key.isValid() && ((Ready) key.attachment()).isUrgent();
+            if (urgent) {
+                ready((Ready) key.attachment());
+            }
+            return urgent;
+        });
+        lookedAt = System.nanoTime();
+    }
+
+    /** A turn may be long: what is urgent does not wait for its end. */
+    private void lookAgain() throws IOException {
+        if (System.nanoTime() - lookedAt > LOOK_AGAIN) {
+            selector.selectNow();
+            serveUrgent();
+        }
+    }
+
     private static void ready(Ready channel) {
         try {
             channel.ready();
--- a/src/main/java/calicostream/platform/Descriptors.java
+++ b/src/main/java/calicostream/platform/Descriptors.java
@@ -1,12 +1,13 @@
 // SPDX-License-Identifier: Apache-2.0
 package calicostream.platform;
 
+import calicostream.admin.AdminFront;
 import java.io.File;
 
 /** How the descriptors of the process are shared out, so that neither side can take them all. */
 record Descriptors(int clients, int engines) {
     private static final int UNTOLD = 64; // the process's own, where the system does not list them
-    private static final int SPARE = 12; // the log and its successor, files read anew, sockets being closed
+    private static final int SPARE = 12 + AdminFront.MOST; // log and successor, files read anew, sockets being closed
 
     /**
      * Usual clients hold a third of the limit at most. They get two fifths, so that others can be told
--- a/src/main/java/calicostream/platform/JsonRpcFront.java
+++ b/src/main/java/calicostream/platform/JsonRpcFront.java
@@ -301,6 +301,7 @@
             }
             if (open.size() >= MOST_OPEN) {
                 openIds.remove(message.requestId);
+                gateway.turnedAway(classNames.indexOf(message.method));
                 write(JsonRpc.refused(id, 100));
                 return;
             }
--- a/src/main/java/calicostream/platform/Node.java
+++ b/src/main/java/calicostream/platform/Node.java
@@ -5,6 +5,9 @@
 import calicostream.QueryRouter.Settings;
 import calicostream.SettingsException;
 import calicostream.SettingsParser;
+import calicostream.admin.AdminFront;
+import calicostream.admin.FiguresJson;
+import calicostream.admin.Operator;
 import calicostream.core.Clock;
 import calicostream.core.Deadlines;
 import calicostream.core.Engines;
@@ -25,7 +28,7 @@
 import org.slf4j.LoggerFactory;
 
 /** One front end on the platform: its parts, its start and its end. */
-public final class Node {
+public final class Node implements Operator {
     private static final Logger LOG = LoggerFactory.getLogger(Node.class);
     private static final long SERVE_ON = 800_000; // us after SIGTERM in which clients may still come: 0.7 s at most
     private static final long LOOK_AGAIN = 20_000;
@@ -38,6 +41,8 @@
     private final NodeConfig config;
     private final ChangeLog log;
     private final Descriptors descriptors;
+    private final AdminFront admin;
+    private boolean listening, ending;
     private long lastOpenAt;
     private final CountDownLatch done = new CountDownLatch(1);
 
@@ -67,6 +72,7 @@
             gateway.roster(change.kind(), change.engines());
         });
         log.start();
+        admin = config.admin() == null ? null : new AdminFront(loop, this);
     }
 
     private static long longestDeadline(Settings settings) {
@@ -93,7 +99,12 @@
     /** Serves until SIGTERM and what was taken by then is answered. */
     public void run() throws IOException {
         int warmed = new WarmUp(config.settings().settings(), config.settings().classNames()).run();
+        if (admin != null) {
+            admin.listen(config.admin());
+            LOG.info("operators call on port {}", admin.port());
+        }
         front.listen(config.listen(), descriptors.clients());
+        listening = true;
         Runtime.getRuntime().addShutdownHook(new Thread(this::terminate, "terminate"));
         LOG.info("{}, warmed up by {} requests, listens on port {}", config.name(), warmed, front.port());
         if (flight != null) {
@@ -110,6 +121,8 @@
     /** On SIGTERM, off the loop's thread: the process ends when this returns. */
     private void terminate() {
         loop.post(() -> {
+            ending = true;
+            LOG.info("SIGTERM: {} requests are open", gateway.open());
             long stopAt = loop.clock().now() + SERVE_ON;
             lastOpenAt = stopAt;
             loop.deadlines().add(stopAt, this::finish, 0);
@@ -124,6 +137,16 @@
         }
     }
 
+    @Override
+    public boolean isReady() {
+        return listening && !ending;
+    }
+
+    @Override
+    public String figures() {
+        return FiguresJson.of(gateway, config.settings().classNames());
+    }
+
     private void finish(long now, long ref) {
         try {
             front.stopListening();
--- a/src/main/java/calicostream/platform/NodeConfig.java
+++ b/src/main/java/calicostream/platform/NodeConfig.java
@@ -14,8 +14,8 @@
 import java.nio.file.Path;
 
 /** What the platform tells a front end in its configuration file. */
-public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress changelog, int sockets,
-        JsonObject known, SettingsParser settings) {
+public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress changelog,
+        int sockets, JsonObject known, SettingsParser settings) {
     private static final int FEWEST_SOCKETS = 64;
 
     public static NodeConfig read(Path path) {
@@ -31,7 +31,7 @@
             JsonObject root = Json.parse(text).asObject();
             JsonValue limits = root.get("limits");
             int sockets = limits == null ? 1024 : limits.asObject().getInt("sockets", 1024);
-            return new NodeConfig(root.getString("name", "front"), address(root, "listen"),
+            return new NodeConfig(root.getString("name", "front"), address(root, "listen"), admin(root),
                     address(root, "changelog"), Math.max(FEWEST_SOCKETS, sockets), member(root, "known"),
                     SettingsParser.ofJson(member(root, "settings")));
         } catch (ParseException e) {
@@ -49,6 +49,15 @@
         return value.asObject();
     }
 
+    /** The operators' address, where there is one: the environment names it, or the file. */
+    private static InetSocketAddress admin(JsonObject root) {
+        String named = System.getenv("NODE_ADMIN");
+        if (named == null || named.isEmpty()) {
+            return root.get("admin") == null || root.get("admin").isNull() ? null : address(root, "admin");
+        }
+        return address(new JsonObject().add("admin", named), "admin");
+    }
+
     private static InetSocketAddress address(JsonObject root, String name) {
         try {
             return Roster.address(root.getString(name, ""));
--- a/src/main/java/calicostream/platform/RespEngines.java
+++ b/src/main/java/calicostream/platform/RespEngines.java
@@ -13,6 +13,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -58,6 +59,9 @@
         }
     }
 
+    /** An attempt in a connection's ring, and the count of bytes at which it has gone out whole. */
+    private record GoingOut(long end, Gateway.Attempt attempt) { }
+
     private final Loop loop;
     private final List<String> classNames;
     private final SettingsParser.Wiring wiring;
@@ -215,6 +219,7 @@
         final List<Call> unsent = new ArrayList<>();
         final Set<String> stale = new HashSet<>();
         final List<Link> inDoubt = new ArrayList<>(); // broken ones whose engine may have died with them
+        final ArrayDeque<GoingOut> goingOut = new ArrayDeque<>();
         final Connection connection;
         long heardAt;
         long busySince;
@@ -257,11 +262,20 @@
             boolean sent = connection.write(Resp.array(Resp.ascii("REQ"), Resp.ascii(a.request.id),
                     Resp.ascii(fields), a.request.body));
             LOG.debug("{} attempt {} to {} by connection {}", a.request.id, a.number, engine.address, number);
-            if (!sent) { // The ring is full: not a byte of it went out.
+            if (sent) {
+                goingOut.add(new GoingOut(connection.queued(), a));
+            } else { // The ring is full: not a byte of it went out.
                 end(call, Outcome.FULL, null);
             }
         }
 
+        @Override
+        public void drained(Connection c) {
+            while (!goingOut.isEmpty() && goingOut.peek().end <= c.written()) {
+                gateway.written(goingOut.poll().attempt);
+            }
+        }
+
         void tell(String... words) {
             connection.write(Resp.command(words));
         }
--- a/src/test/java/calicostream/wire/Exchange.java
+++ b/src/test/java/calicostream/wire/Exchange.java
@@ -23,8 +23,8 @@
 /**
  * Plays a recorded exchange against the started program. A line is a party, a sign and bytes: '>' is sent by
  * the party, '<' is what the party must receive next, '!' is a word on it. Parties: c1, c2 ... clients (lines),
- * crowd (many clients), e1, e2 ... engines (commands with '|' between their parts), log and log2 (events),
- * program. In bytes, b64(...) is
+ * crowd (many clients), a1, a2 ... callers of the admin address (bytes; what they receive is all until it ends),
+ * e1, e2 ... engines (commands with '|' between their parts), log and log2 (events), program. In bytes, b64(...) is
  * base64 and \n, \r, \t, \0 are what they usually are; in what is expected, * stands for any bytes, and in
  * events @e1 for an engine's address and @@ for the time in Unix milliseconds.
  */
@@ -38,6 +38,7 @@
     private int sockets = 1024;
     private Program program;
     private int port;
+    private int admin;
 
     private Exchange(Path folder) throws IOException {
         this.folder = folder;
@@ -77,6 +78,8 @@
             log(logs.get(party), sign, text);
         } else if (party.equals("crowd")) {
             crowd(text.split(" "));
+        } else if (party.startsWith("a")) {
+            operator(party, sign, text);
         } else if (party.startsWith("e")) {
             engine(party, sign, text);
         } else {
@@ -98,9 +101,11 @@
                 }
                 program = new Program(folder, logs.get("log").port(), known, sockets);
                 assertEquals("1", logs.get("log").follow());
+                admin = program.port("operators call on port");
                 port = program.port("listens on port");
             } else if (word.equals("term")) {
                 program.signal();
+                program.awaitLine("SIGTERM");
             } else if (word.equals("hup with a bad file")) {
                 Files.writeString(folder.resolve("config.json"), "{");
                 program.hangUp();
@@ -136,8 +141,27 @@
         }
     }
 
+    /** A caller of the admin address sends bytes, or reads until the program closes. */
+    private void operator(String name, char sign, String text) throws IOException {
+        if (!clients.containsKey(name)) {
+            clients.put(name, socket(admin));
+        }
+        if (sign == '>') {
+            clients.get(name).getOutputStream().write(bytes(text).getBytes(StandardCharsets.UTF_8));
+        } else if (sign == '<') {
+            matches(text, new String(clients.get(name).getInputStream().readAllBytes(), StandardCharsets.UTF_8));
+            clients.remove(name).close();
+        } else {
+            assertEquals("connect", text);
+        }
+    }
+
     private Socket socket() throws IOException {
-        Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+        return socket(port);
+    }
+
+    private Socket socket(int to) throws IOException {
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), to);
         socket.setSoTimeout((int) Program.PATIENCE_MS);
         return socket;
     }
--- a/src/test/java/calicostream/wire/Program.java
+++ b/src/test/java/calicostream/wire/Program.java
@@ -52,7 +52,7 @@
     /** Writes the configuration file, also in place of an earlier one. */
     public static Path configure(Path folder, int changelogPort, List<String> endpoints, int sockets)
             throws IOException {
-        String json = ("{'name':'n1','listen':'127.0.0.1:0','seed':'8c1f30d27a5be964','limits':{'sockets':" + sockets
+        String json = ("{'name':'n1','listen':'127.0.0.1:0','admin':'127.0.0.1:0','seed':'8c1f30d27a5be964','limits':{'sockets':" + sockets
                 + "},'changelog':'127.0.0.1:" + changelogPort + "','known':{'seq':1,'results':["
                 + event(1, true, endpoints) + "]},'settings':" + SETTINGS + "}").replace('\'', '"');
         return Files.writeString(folder.resolve("config.json"), json);
@@ -103,13 +103,18 @@
         return awaitExit();
     }
 
-    public void signal() {
-        process.destroy();
+    /** SIGTERM, with the log still to be read, which Java's own way to send it closes. */
+    public void signal() throws IOException, InterruptedException {
+        signal("TERM");
     }
 
     /** SIGHUP, which Java itself can't send. */
     public void hangUp() throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+        signal("HUP");
+    }
+
+    private void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
     }
 
     public boolean isAlive() {
