--- a/src/main/java/calicostream/Logic.java
+++ b/src/main/java/calicostream/Logic.java
@@ -85,7 +85,7 @@
         Group exclusive;
         double cores, ownThreads, others;
         double strikes;
-        boolean probing, benched, seen;
+        boolean probing, benched, seen, owed;
         long reportAt = LONG_AGO, coldFrom = LONG_AGO, benchedUntil, nextTrial, bench = BENCH_FIRST;
 
         Node(long id) {
@@ -329,7 +329,7 @@
             if ((member || outsiders < SHORTLIST) && lawful(now, job, n)) {
                 boolean sound = !n.benched && n != job.avoid;
                 boolean due = n.benched && now >= Math.max(n.benchedUntil, n.nextTrial);
-                boolean trial = due && n.running.isEmpty() && n != job.avoid;
+                boolean trial = n != job.avoid && (due && n.running.isEmpty() || n.owed && room(now, job, n));
                 if (trial && job.spec.effect() == Effect.REPEATABLE) {
                     return List.of(n);
                 }
@@ -593,6 +593,7 @@
         }
         held.remove(job);
         n.nextTrial = now + TRIAL_GAP;
+        n.owed = false;
         job.at = n;
         job.sentAt = now;
         job.newsAt = now;
@@ -902,6 +903,17 @@
         }
     }
 
+    /** No table group may have a reason to go there: one query that may be repeated does, as soon as one comes. */
+    @Override
+    public void restored(long now, long engine) {
+        Node n = nodes.get(engine);
+        if (n != null) {
+            forgive(n);
+            n.owed = true;
+            pump(now);
+        }
+    }
+
     @Override
     public boolean avoids(long engine) {
         Node n = nodes.get(engine);
--- a/src/main/java/calicostream/QueryRouter.java
+++ b/src/main/java/calicostream/QueryRouter.java
@@ -44,6 +44,9 @@
     /** A probe asked for with {@link Actions#probe} ended; {@code report} is null when none came. */
     void probed(long now, long engine, Outcome outcome, Report report);
 
+    /** The operators have put an engine back, as the roster told just now: it is cold, and owed a query soon. */
+    void restored(long now, long engine);
+
     /** Whether the module leaves this engine out by its own choice, but for trials. */
     boolean avoids(long engine);
 
@@ -114,6 +117,11 @@
         public Engine in(EngineState other) {
             return new Engine(id, kind, cell, zone, bornUs, other);
         }
+
+        /** The same engine, started at another time. */
+        public Engine bornAt(long us) {
+            return new Engine(id, kind, cell, zone, us, state);
+        }
     }
 
     /** A query; {@code key} 0: none; {@code costUs} and {@code memoryMb} are estimates, 0: none. */
--- a/src/main/java/calicostream/admin/AdminFront.java
+++ b/src/main/java/calicostream/admin/AdminFront.java
@@ -7,6 +7,7 @@
 import calicostream.net.Ring;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.URLDecoder;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
@@ -26,6 +27,7 @@
     private static final long PATIENCE = 2_000_000; // us to send a whole call: callers wait for half of it
     private static final long SPEAKS = 100_000; // us in which a caller surely has begun to
     private static final Pattern LINE = Pattern.compile("([A-Z]+) (/\\S*) HTTP/1\\.\\d");
+    private static final Pattern ENGINE = Pattern.compile("/-/engines/([^/]+)/(disable|enable)");
     private final Loop loop;
     private final Operator operator;
     private final Set<Caller> callers = new LinkedHashSet<>(); // the oldest first
@@ -81,6 +83,10 @@
         }
         String method = call.group(1);
         String path = call.group(2).replaceFirst("\\?.*", "");
+        Matcher engine = ENGINE.matcher(path);
+        if (engine.matches()) {
+            return method.equals("POST") ? setAside(engine.group(1), engine.group(2)) : notAllowed("POST");
+        }
         if (!path.equals("/-/ready") && !path.equals("/-/metrics")) {
             return Reply.text(404, "Not Found");
         }
@@ -97,6 +103,17 @@
         return new Reply(405, "Method Not Allowed", "text/plain", "Method Not Allowed\n", "Allow: " + allowed + "\r\n");
     }
 
+    private Reply setAside(String encoded, String how) {
+        String id;
+        try {
+            id = URLDecoder.decode(encoded.replace("+", "%2B"), StandardCharsets.UTF_8);
+        } catch (IllegalArgumentException e) {
+            return Reply.text(400, "Bad Request");
+        }
+        boolean known = how.equals("disable") ? operator.disable(id) : operator.enable(id);
+        return known ? Reply.text(200, "OK") : Reply.text(404, "Not Found");
+    }
+
     /** One caller and its one call. */
     private final class Caller implements Connection.Handler {
         final Connection connection;
--- a/src/main/java/calicostream/admin/Operator.java
+++ b/src/main/java/calicostream/admin/Operator.java
@@ -8,4 +8,9 @@
 
     /** The figures as a JSON object. */
     String figures();
+
+    /** Leaves an engine out, or puts it back, before this returns; false where no engine has the id. */
+    boolean disable(String engine);
+
+    boolean enable(String engine);
 }
--- a/src/main/java/calicostream/core/Engines.java
+++ b/src/main/java/calicostream/core/Engines.java
@@ -26,6 +26,9 @@
     /** The engine drains: what has not gone out to it must not. */
     void withdrawn(long engine);
 
+    /** The engine is put back after operators had it: nothing new may use a connection from before. */
+    void renewed(long engine);
+
     /** The engine's process has ended: attempts there end, and all that is kept for it is forgotten. */
     void gone(long engine);
 }
--- a/src/main/java/calicostream/core/Gateway.java
+++ b/src/main/java/calicostream/core/Gateway.java
@@ -7,8 +7,10 @@
 import calicostream.core.Watcher.Ending;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -96,6 +98,8 @@
     private final Slots<Request> requests = new Slots<>();
     private final Slots<Attempt> attempts = new Slots<>();
     private final Map<Long, QueryRouter.Engine> roster = new HashMap<>();
+    private final Set<Long> disabled = new HashSet<>(); // by hand, whatever the list says
+    private final Map<Long, Long> restored = new HashMap<>(); // engines put back, and when, until they are warm
     private final ArrayDeque<End> ends = new ArrayDeque<>();
     private final Figures figures;
     private final Deadlines.Target moduleTimer = (now, token) -> tell(r -> r.timer(now, token));
@@ -166,9 +170,54 @@
         return roster.size();
     }
 
-    /** Of these, the ones left out now, each counted once. */
+    /** Of these, the ones left out now, by hand or by the module, each counted once. */
     public int avoided() {
-        return (int) roster.keySet().stream().filter(router::avoids).count();
+        return (int) roster.keySet().stream().filter(id -> disabled.contains(id) || router.avoids(id)).count();
+    }
+
+    /** Leaves an engine out, whatever the list says of it, until it is enabled; false where nobody has the id. */
+    public boolean disable(long engine) {
+        QueryRouter.Engine listed = roster.get(engine);
+        if (listed == null && !disabled.contains(engine)) {
+            return false;
+        }
+        if (disabled.add(engine)) {
+            LOG.info("engine {} disabled by hand", Long.toHexString(engine));
+            restored.remove(engine);
+            hear(listed);
+        }
+        return true;
+    }
+
+    /** Puts an engine back; it has been restarted meanwhile, so it is cold. False where nobody has the id. */
+    public boolean enable(long engine) {
+        QueryRouter.Engine listed = roster.get(engine);
+        if (disabled.remove(engine)) {
+            LOG.info("engine {} enabled by hand", Long.toHexString(engine));
+            restored.values().removeIf(at -> clock.now() - at > settings.rules().warmUpUs());
+            restored.put(engine, clock.now());
+            engines.renewed(engine);
+            hear(listed);
+            tell(r -> r.restored(clock.now(), engine));
+            return true;
+        }
+        return listed != null;
+    }
+
+    private void hear(QueryRouter.Engine listed) {
+        if (listed != null) {
+            roster(QueryRouter.RosterKind.CHANGES, List.of(listed));
+        }
+    }
+
+    /** An engine as module and engine side may use it: only where neither the list nor an operator forbids it. */
+    private QueryRouter.Engine usable(QueryRouter.Engine listed) {
+        boolean ready = listed.state() == QueryRouter.EngineState.READY;
+        if (ready && disabled.contains(listed.id())) {
+            return listed.in(QueryRouter.EngineState.DRAINING);
+        }
+        long backAt = restored.getOrDefault(listed.id(), 0L);
+        return ready && backAt > listed.bornUs() ? listed.bornAt(backAt) : listed;
     }
 
     // ---- From the engine side -------------------------------------------------------------------------
@@ -209,7 +258,8 @@
         } finally {
             inModule = false;
         }
-        tell(r -> r.roster(clock.now(), kind, list));
+        List<QueryRouter.Engine> usable = list.stream().map(this::usable).toList();
+        tell(r -> r.roster(clock.now(), kind, usable));
     }
 
     private void list(QueryRouter.Engine engine) {
@@ -218,7 +268,7 @@
         if (!engine.equals(old)) {
             watcher.engine(engine);
         }
-        if (engine.state() == QueryRouter.EngineState.DRAINING) {
+        if (usable(engine).state() == QueryRouter.EngineState.DRAINING) {
             engines.withdrawn(engine.id());
         } else if (engine.state() == QueryRouter.EngineState.GONE) {
             engines.gone(engine.id());
@@ -237,7 +287,7 @@
         long until = giveUpAt > 0 ? Math.min(giveUpAt, request.deadline) : request.deadline;
         Attempt attempt = new Attempt(request, request.attempts, engine, now, until);
         QueryRouter.Engine listed = roster.get(engine);
-        boolean ready = listed != null && listed.state() == QueryRouter.EngineState.READY;
+        boolean ready = listed != null && usable(listed).state() == QueryRouter.EngineState.READY;
         boolean again = request.spec.effect() == QueryRouter.Effect.ONCE && request.mayHaveRun;
         attempt.handle = attempts.add(attempt);
         request.attempts++;
--- a/src/main/java/calicostream/grpc/ChannelEngines.java
+++ b/src/main/java/calicostream/grpc/ChannelEngines.java
@@ -45,6 +45,11 @@
         channels.withdrawn(engine);
     }
 
+    @Override
+    public void renewed(long engine) {
+        channels.renewed(engine);
+    }
+
     @Override
     public void gone(long engine) {
         channels.gone(engine);
--- a/src/main/java/calicostream/grpc/Channels.java
+++ b/src/main/java/calicostream/grpc/Channels.java
@@ -54,11 +54,23 @@
     public void locate(long engine, InetSocketAddress address) {
         Peer old = peers.get(engine);
         if (old == null || !old.address.equals(address)) {
-            peers.put(engine, new Peer(address, dial.apply(address)));
-            if (old != null) {
-                takeBack(old);
-                old.channel.shutdown(); // What runs on it may finish.
-            }
+            replace(engine, old, address);
+        }
+    }
+
+    private void replace(long engine, Peer old, InetSocketAddress address) {
+        peers.put(engine, new Peer(address, dial.apply(address)));
+        if (old != null) {
+            takeBack(old);
+            old.channel.shutdown(); // What runs on it may finish.
+        }
+    }
+
+    /** New calls go by a new channel. */
+    public void renewed(long engine) {
+        Peer old = peers.get(engine);
+        if (old != null) {
+            replace(engine, old, old.address);
         }
     }
 
--- a/src/main/java/calicostream/platform/Node.java
+++ b/src/main/java/calicostream/platform/Node.java
@@ -142,6 +142,16 @@
         return listening && !ending;
     }
 
+    @Override
+    public boolean disable(String engine) {
+        return gateway.disable(Roster.id(engine));
+    }
+
+    @Override
+    public boolean enable(String engine) {
+        return gateway.enable(Roster.id(engine));
+    }
+
     @Override
     public String figures() {
         return FiguresJson.of(gateway, config.settings().classNames());
--- a/src/main/java/calicostream/platform/RespEngines.java
+++ b/src/main/java/calicostream/platform/RespEngines.java
@@ -168,6 +168,15 @@
         }
     }
 
+    @Override
+    public void renewed(long engine) {
+        Engine e = engines.get(engine);
+        if (e != null) {
+            closeIdle(e);
+            e.links.forEach(link -> link.doubtful = true);
+        }
+    }
+
     /** Its process has ended, so what is open to it gets no answer; a machine cut off would never say so. */
     @Override
     public void gone(long engine) {
--- a/src/main/java/calicostream/platform/WarmUp.java
+++ b/src/main/java/calicostream/platform/WarmUp.java
@@ -94,6 +94,9 @@
     @Override
     public void withdrawn(long engine) { }
 
+    @Override
+    public void renewed(long engine) { }
+
     @Override
     public void gone(long engine) { }
 
--- a/src/test/java/calicostream/core/GatewayTest.java
+++ b/src/test/java/calicostream/core/GatewayTest.java
@@ -68,6 +68,11 @@
             told.add("withdrawn " + engine);
         }
 
+        @Override
+        public void renewed(long engine) {
+            told.add("renewed " + engine);
+        }
+
         @Override
         public void gone(long engine) {
             told.add("gone " + engine);
@@ -141,6 +146,26 @@
         assertEquals(List.of("failed 1 ENGINE"), told);
     }
 
+    /** What waits for a connection when an operator takes the engine out ends there, and goes elsewhere. */
+    @Test
+    void anEngineIsUsedOnlyWhereNeitherTheListNorAnOperatorForbidsIt() {
+        gateway.disable(7);
+        assertEquals(List.of("withdrawn 7"), told);
+        gateway.roster(RosterKind.CHANGES, List.of(engine(7, EngineState.DRAINING), engine(8, EngineState.DRAINING)));
+        assertTrue(gateway.enable(7));
+        ask(0, 1, 4_000_000);
+        assertEquals(List.of(), sent, "the list still forbids it");
+        gateway.disable(7);
+        gateway.roster(RosterKind.CHANGES, List.of(engine(7, EngineState.READY)));
+        pass(10_000);
+        assertEquals(List.of(), sent, "an operator forbids it");
+        assertEquals(2, gateway.listed());
+        assertEquals(1, gateway.avoided());
+        gateway.enable(7);
+        assertEquals(7, sent.get(0).engine);
+        assertFalse(gateway.disable(9), "nobody has this id");
+    }
+
     @Test
     void theModuleCannotSendTwiceAtOnceOrRefuseARunningLoad() {
         long handle = ask(1, 1, 20_000_000);
