--- a/src/main/java/calicostream/Logic.java
+++ b/src/main/java/calicostream/Logic.java
@@ -903,7 +903,7 @@
         }
     }
 
-    /** No table group may have a reason to go there: one query that may be repeated does, as soon as one comes. */
+    /** No group may have a reason to go there: one query that may be repeated does, as soon as one comes. */
     @Override
     public void restored(long now, long engine) {
         Node n = nodes.get(engine);
