--- a/src/main/java/calicostream/Logic.java
+++ b/src/main/java/calicostream/Logic.java
@@ -61,6 +61,8 @@
     static final double SLOWEST = 6; // slowdown that one answer may suggest: a stray one is no rule
 
     static final double COLD_PART = 0.8; // part of the cold allowance used at most: usual work is an estimate
+    static final int KNOWN_RUNS = 10; // answers after which a class's run time tells more than the guess
+    static final double FASTER = 1.15; // work in a core's time at most: told cores differ that much
     static final double CORE_YIELD = 0.75; // work of a told core at capacity: 85% busy, some slower
     static final long ANSWER_TICKS = 2; // ticks before the client's deadline at which we end a query
     static final double QUOTA_CHANCE = 4; // queries that a tenant may save up besides a second of its quota
@@ -187,7 +189,7 @@
     private final ArrayDeque<Long> takenAt = new ArrayDeque<>(), extraAt = new ArrayDeque<>();
     private double ownThreads, smoothThreads, smoothQueries, fleetCores, usual, heaviest;
     private double slowdown = 1.3, meanWorth, meanCost;
-    private int rosterChanges, benched, ownQueries;
+    private int rosterChanges, benched, ownQueries, processes = 1, place;
     private long reports, lastTick, lastQuery, forgetAt, awakeAt = LONG_AGO, askRosterAt = Long.MAX_VALUE;
 
     public Logic(Settings settings, Actions actions) {
@@ -243,7 +245,7 @@
             forgive(n);
             n.seen = false;
         }
-        if (fresh && cached && cold(n, now)) { // This gateway restarted: take our part as spent before.
+        if (fresh && cached && processes == 1 && cold(n, now)) { // Restarted: our part is spent.
             n.coldSent.add(new double[] {now, Double.MAX_VALUE});
         }
     }
@@ -391,26 +393,30 @@
     private double coldAllowance(Node n, long now) {
         Rules r = settings.rules();
         double whole = COLD_PART * r.coldMultiple() * r.coldShare() * n.cores * CORE_YIELD * r.coldWindowUs();
-        int gateways = Math.max(settings.gateways(), settings.index() + 1);
+        int gateways = Math.max(settings.gateways(), settings.index() + 1) * processes;
         if (whole / gateways >= heaviest) {
             return whole / gateways;
         }
         double cycle = 2 * r.coldWindowUs() * heaviest * gateways / Math.max(1, whole);
-        long place = Math.floorMod(settings.index() + (n.id * HASH_SPREAD >>> 33), gateways);
-        double phase = (now - n.coldFrom + cycle * place / gateways) % cycle;
+        long turn = Math.floorMod(settings.index() * processes + place + (n.id * HASH_SPREAD >>> 33), gateways);
+        double phase = (now - n.coldFrom + cycle * turn / gateways) % cycle;
         return phase < r.coldWindowUs() ? heaviest : 0;
     }
 
     private boolean warmEnough(long now, Job job, Node n) {
-        if (!cold(n, now)) {
-            return true;
+        if (!cold(n, now) || processes == 0) { // Another process of this gateway has all of our part.
+            return !cold(n, now);
         }
         n.coldSent.removeIf(each -> each[0] <= now - settings.rules().coldWindowUs());
         double sent = n.coldSent.stream().mapToDouble(each -> each[1]).sum();
         return sent + weight(job) <= coldAllowance(n, now);
     }
 
+    /** Work that a query brings: as long as its threads usually run at most, where nothing tells more. */
     private static double weight(Job job) {
+        if (job.learned.usual <= 0 && job.learned.runs >= KNOWN_RUNS) {
+            return job.learned.run * job.spec.threads() * FASTER;
+        }
         return job.learned.usual > 0 ? job.learned.usual : Math.max(job.cost, FIRST_WORK);
     }
 
@@ -448,7 +454,7 @@
         forget(takenAt, now - r.rationWindowUs() + 1);
         forget(extraAt, now - r.rationWindowUs());
         return r.rationWindowUs() <= 0
-                || extraAt.size() + 1 <= r.rationFree() + r.rationShare() * takenAt.size();
+                || extraAt.size() + 1 <= r.rationFree() / Math.max(1, processes) + r.rationShare() * takenAt.size();
     }
 
     private static void forget(ArrayDeque<Long> times, long until) {
@@ -903,6 +909,12 @@
         }
     }
 
+    @Override
+    public void sharedBy(long now, int sharers, int number) {
+        processes = sharers;
+        place = number;
+    }
+
     /** No group may have a reason to go there: one query that may be repeated does, as soon as one comes. */
     @Override
     public void restored(long now, long engine) {
--- a/src/main/java/calicostream/Main.java
+++ b/src/main/java/calicostream/Main.java
@@ -30,6 +30,12 @@
         }
     }
 
+    /** The folder in which the processes of this front end find each other. */
+    private static Path shared() {
+        String folder = System.getenv("TMPDIR");
+        return folder == null || folder.isEmpty() ? null : Path.of(folder);
+    }
+
     private static void serve() throws IOException {
         // Looking for a provider of logs goes through every jar of the class path.
         System.setProperty("slf4j.provider", "org.slf4j.simple.SimpleServiceProvider");
@@ -42,7 +48,7 @@
             }
             Path deploy = Path.of(System.getProperty("calicostream.deploy", "deploy"));
             Node node = new Node(NodeConfig.read(Path.of(path)), FlightConfig.read(deploy.resolve("flight.json")),
-                    SyslogConfig.read(deploy.resolve("syslog.json")));
+                    SyslogConfig.read(deploy.resolve("syslog.json")), shared());
             hangup.tell(() -> node.reload(Path.of(path)));
             node.run();
         } catch (SettingsException e) {
--- a/src/main/java/calicostream/QueryRouter.java
+++ b/src/main/java/calicostream/QueryRouter.java
@@ -47,6 +47,12 @@
     /** The operators have put an engine back, as the roster told just now: it is cold, and owed a query soon. */
     void restored(long now, long engine);
 
+    /**
+     * For now so many processes are this one gateway, each with clients of its own; this one has this place among
+     * them, from 0. What the rules allow the gateway, they share; 0 processes: the others have all of it.
+     */
+    void sharedBy(long now, int processes, int place);
+
     /** Whether the module leaves this engine out by its own choice, but for trials. */
     boolean avoids(long engine);
 
--- a/src/main/java/calicostream/core/Gateway.java
+++ b/src/main/java/calicostream/core/Gateway.java
@@ -175,33 +175,38 @@
         return (int) roster.keySet().stream().filter(id -> disabled.contains(id) || router.avoids(id)).count();
     }
 
-    /** Leaves an engine out, whatever the list says of it, until it is enabled; false where nobody has the id. */
-    public boolean disable(long engine) {
-        QueryRouter.Engine listed = roster.get(engine);
-        if (listed == null && !disabled.contains(engine)) {
-            return false;
-        }
+    /** Whether an engine has this id, or had it when it was taken out. */
+    public boolean knows(long engine) {
+        return roster.containsKey(engine) || disabled.contains(engine);
+    }
+
+    public boolean isDisabled(long engine) {
+        return disabled.contains(engine);
+    }
+
+    /** Leaves an engine out, whatever the list says of it, until it is enabled. */
+    public void disable(long engine) {
         if (disabled.add(engine)) {
             LOG.info("engine {} disabled by hand", Long.toHexString(engine));
             restored.remove(engine);
-            hear(listed);
+            hear(roster.get(engine));
         }
-        return true;
     }
 
-    /** Puts an engine back; it has been restarted meanwhile, so it is cold. False where nobody has the id. */
-    public boolean enable(long engine) {
-        QueryRouter.Engine listed = roster.get(engine);
-        if (disabled.remove(engine)) {
-            LOG.info("engine {} enabled by hand", Long.toHexString(engine));
-            restored.values().removeIf(at -> clock.now() - at > settings.rules().warmUpUs());
-            restored.put(engine, clock.now());
-            engines.renewed(engine);
-            hear(listed);
-            tell(r -> r.restored(clock.now(), engine));
-            return true;
-        }
-        return listed != null;
+    /** Puts an engine back as of this time; it has been restarted meanwhile, so it is cold. */
+    public void enable(long engine, long at) {
+        LOG.info("engine {} enabled by hand", Long.toHexString(engine));
+        disabled.remove(engine);
+        restored.values().removeIf(each -> clock.now() - each > settings.rules().warmUpUs());
+        restored.put(engine, at);
+        engines.renewed(engine);
+        hear(roster.get(engine));
+        tell(r -> r.restored(clock.now(), engine));
+    }
+
+    /** So many processes serve this front end's clients together; this one is number {@code place}, from 0. */
+    public void sharedBy(int processes, int place) {
+        tell(r -> r.sharedBy(clock.now(), processes, place));
     }
 
     private void hear(QueryRouter.Engine listed) {
--- a/src/main/java/calicostream/net/Connection.java
+++ b/src/main/java/calicostream/net/Connection.java
@@ -153,6 +153,24 @@
         }
     }
 
+    /** Takes what has come and was not read yet; whether there was nothing. */
+    public boolean isQuiet() {
+        if (closed || connecting || paused) {
+            return false;
+        }
+        try {
+            int count = in.fill(channel, loop.through());
+            handle(count > 0);
+            if (count < 0) {
+                close();
+            }
+            return count == 0 && in.size() == 0 && !closed;
+        } catch (IOException e) {
+            close();
+            return false;
+        }
+    }
+
     /** Whether it has ended, or only waits for the other side to see its end. */
     public boolean isFinishing() {
         return closeWhenFlushed || closed;
--- a/src/main/java/calicostream/net/Listener.java
+++ b/src/main/java/calicostream/net/Listener.java
@@ -36,6 +36,23 @@
         this(loop, at, most, taker, false);
     }
 
+    /** How many may be open from now on. */
+    public void most(int count) {
+        most = count;
+    }
+
+    /** Takes all that have connected so far, as closing would reset them, and takes no more. */
+    public void takeAllAndClose() throws IOException {
+        try {
+            for (SocketChannel next = channel.accept(); next != null; next = channel.accept()) {
+                open++;
+                take(next);
+            }
+        } finally {
+            channel.close();
+        }
+    }
+
     /** One whose connections are taken before all that is not urgent. */
     public static Listener urgent(Loop loop, InetSocketAddress at, int most, Taker taker) throws IOException {
         return new Listener(loop, at, most, taker, true);
@@ -48,6 +65,9 @@
         this.taker = taker;
         channel = ServerSocketChannel.open();
         channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+        if (!urgent) { // Another process of the same front end may listen, too.
+            channel.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+        }
         channel.bind(at, BACKLOG);
         key = loop.register(channel, SelectionKey.OP_ACCEPT, this);
     }
--- a/src/main/java/calicostream/platform/ChangeLog.java
+++ b/src/main/java/calicostream/platform/ChangeLog.java
@@ -40,6 +40,16 @@
         this.changed = changed;
     }
 
+    /** The last event seen. */
+    long seq() {
+        return seq;
+    }
+
+    /** Whether the log follows, so that what it has to tell is on its way. */
+    boolean hasAnswered() {
+        return follower != null && follower.events.hasBegun();
+    }
+
     void start() {
         connect();
         watch(loop.clock().now(), 0);
--- a/src/main/java/calicostream/platform/Descriptors.java
+++ b/src/main/java/calicostream/platform/Descriptors.java
@@ -5,7 +5,7 @@
 import java.io.File;
 
 /** How the descriptors of the process are shared out, so that neither side can take them all. */
-record Descriptors(int clients, int engines) {
+record Descriptors(int clients, int engines, int own) {
     private static final int UNTOLD = 64; // the process's own, where the system does not list them
     private static final int SPARE = 12 + AdminFront.MOST; // log and successor, files read anew, sockets being closed
 
@@ -20,6 +20,6 @@
 
     static Descriptors of(int limit, int own) {
         int clients = Math.max(4, Math.min(limit * 2 / 5, limit - own - SPARE - 4));
-        return new Descriptors(clients, Math.max(4, limit - own - SPARE - clients));
+        return new Descriptors(clients, Math.max(4, limit - own - SPARE - clients), own);
     }
 }
--- a/src/main/java/calicostream/platform/JsonRpcFront.java
+++ b/src/main/java/calicostream/platform/JsonRpcFront.java
@@ -31,6 +31,8 @@
     private static final long REST = 8_000_000; // us without a request: usual clients close after half of it
     private static final long SAYS_SOON = 250_000; // us after which a client that connects has its reason to
     private static final long HEARD = 20_000; // us in which what a client sent has surely been read
+    private static final long REST_ON = 700_000; // us after which a retiring front lets go who rests
+    private static final long LET_GO = 20_000; // us between its looks for those
     private static final long LOOK = 200_000; // us between looks for clients that stalled or rest
     private static final int LITTLE = 8 * 1024; // bytes that one client may hold where memory is short
     private static final long WAIT_FOLD = 10; // of the longest deadline: no client waits for that long
@@ -43,6 +45,8 @@
     private final UnaryOperator<byte[]> text;
     private final double longestWaitMs;
     private Listener listener;
+    private int mostClients = 1;
+    private long lastMoment = Long.MAX_VALUE;
 
     /** A request taken and not answered, with the connection that waits for it. */
     private static final class Pending {
@@ -68,11 +72,39 @@
         this.classNames = classNames;
     }
 
-    void listen(InetSocketAddress at, int mostClients) throws IOException {
+    void listen(InetSocketAddress at) throws IOException {
         listener = new Listener(loop, at, mostClients, this);
         look(loop.clock().now(), 0);
     }
 
+    /** How many clients may be connected from now on. */
+    void most(int count) {
+        mostClients = count;
+        if (listener != null) {
+            listener.most(count);
+        }
+    }
+
+    /**
+     * Another process takes new clients. Those here are served on and closed with their last answer; who rests then
+     * is closed after a moment, in which most ask once more. What is asked must be answered by {@code last}.
+     */
+    void retire(long last) throws IOException {
+        lastMoment = last;
+        listener.takeAllAndClose();
+        loop.deadlines().add(loop.clock().now() + REST_ON, this::letGo, 0);
+    }
+
+    private void letGo(long now, long ref) {
+        List.copyOf(clients).forEach(Client::letGo);
+        loop.deadlines().add(now + LET_GO, this::letGo, 0);
+    }
+
+    /** Whether all clients have gone. */
+    boolean isEmpty() {
+        return clients.isEmpty();
+    }
+
     int port() throws IOException {
         return listener.port();
     }
@@ -142,6 +174,9 @@
             p.client.open.remove(p.id);
             p.client.write(wording.of(p));
             p.client.rests();
+            if (lastMoment < Long.MAX_VALUE) { // Best closed with an answer: no request crosses that.
+                loop.soon(p.client::letGo);
+            }
         }
     }
 
@@ -229,6 +264,14 @@
             }
         }
 
+        /** Ends it unless something is open, unsaid or unread. */
+        void letGo() {
+            if (open.isEmpty() && waiting.isEmpty() && !connection.isFinishing() && connection.in().size() == 0
+                    && connection.isQuiet() && open.isEmpty()) {
+                connection.finish();
+            }
+        }
+
         /** Who stops half-way or says nothing is told so in time; who has had its answer need not stay. */
         void look(long now) {
             boolean half = connection.in().size() > 0 && scanned == connection.in().size();
@@ -308,9 +351,10 @@
             Pending p = new Pending(this, id, message.requestId);
             long tag = pending.add(p);
             open.put(id, tag);
+            long left = Math.min((long) (message.wait * 1000), Math.max(1, lastMoment - loop.clock().now()));
             int group = Math.max(0, Statement.tableGroup(body));
             p.handle = gateway.accept(JsonRpcFront.this, tag, message.requestId, classNames.indexOf(message.method),
-                    group, (long) (message.wait * 1000), body);
+                    group, left, body);
         }
 
         private byte[] body(String content) {
--- a/src/main/java/calicostream/platform/Node.java
+++ b/src/main/java/calicostream/platform/Node.java
@@ -22,6 +22,8 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -31,7 +33,12 @@
 public final class Node implements Operator {
     private static final Logger LOG = LoggerFactory.getLogger(Node.class);
     private static final long SERVE_ON = 800_000; // us after SIGTERM in which clients may still come: 0.7 s at most
+    private static final long MARGIN = 500_000; // us before SIGKILL, which may come 0.1 s before SERVE_ON's end
+    private static final long LAST_WORDS = 150_000; // us for the last answers to go out
     private static final long LOOK_AGAIN = 20_000;
+    private static final long LOOK = 100_000; // us between looks at the other process's word
+    private static final long CATCH_UP = 1_500_000; // us at most to hear of the engines what the other process knows
+    private static final long LONGEST_STAY = 5_000_000; // us after SIGTERM that a request may be waited for
     private static final long READ_LAST = 1_000_000; // us that clients have to read the last answers
     private static final long LONGEST_END_S = 30;
     private final Loop loop;
@@ -41,20 +48,27 @@
     private final NodeConfig config;
     private final ChangeLog log;
     private final Descriptors descriptors;
+    private final Engines engines;
+    private final Handover handover;
     private final AdminFront admin;
-    private boolean listening, ending;
+    private boolean started, listening, ending;
+    private IOException failed;
     private long lastOpenAt;
     private final CountDownLatch done = new CountDownLatch(1);
 
-    /** Flight SQL and syslog are off, and their classes not loaded, where their configuration is null. */
-    public Node(NodeConfig config, FlightConfig flightConfig, SyslogConfig syslogConfig) throws IOException {
+    /**
+     * Flight SQL and syslog are off, and their classes not loaded, where their configuration is null. {@code shared} is the folder that this
+     * front end's processes have in common, or null.
+     */
+    public Node(NodeConfig config, FlightConfig flightConfig, SyslogConfig syslogConfig, Path shared)
+            throws IOException {
         this.config = config;
         SettingsParser settings = config.settings();
         Clock clock = new Clock();
         loop = new Loop(clock, new Deadlines());
         descriptors = Descriptors.of(config.sockets());
         boolean flightEngines = flightConfig != null && flightConfig.flightEngines();
-        Engines engines = flightEngines ? new FlightEngines(loop, settings, flightConfig.mostResultBytes())
+        engines = flightEngines ? new FlightEngines(loop, settings, flightConfig.mostResultBytes())
                 : new RespEngines(loop, settings.classNames(), settings.wiring(), descriptors.engines());
         Watcher watcher = syslogConfig == null ? Watcher.NONE
                 : new Syslog(loop, syslogConfig, config.name(), settings.classNames());
@@ -66,7 +80,19 @@
         Roster roster = new Roster(clock, settings.zoneNames(), settings.kindNames());
         Roster.Change known = roster.known(config.known());
         known.addresses().forEach(engines::locate);
+        List<Runnable> early = new ArrayList<>();
+        handover = new Handover(shared, config.name(), (engine, word) -> {
+            if (started) {
+                heard(engine, word);
+            } else {
+                early.add(() -> heard(engine, word));
+            }
+        });
+        handover.join();
+        share();
         gateway.start(engines, known.engines());
+        started = true;
+        early.forEach(Runnable::run);
         log = new ChangeLog(loop, config.changelog(), roster, known.seq(), change -> {
             change.addresses().forEach(engines::locate);
             gateway.roster(change.kind(), change.engines());
@@ -103,19 +129,49 @@
             admin.listen(config.admin());
             LOG.info("operators call on port {}", admin.port());
         }
-        front.listen(config.listen(), descriptors.clients());
-        listening = true;
         Runtime.getRuntime().addShutdownHook(new Thread(this::terminate, "terminate"));
-        LOG.info("{}, warmed up by {} requests, listens on port {}", config.name(), warmed, front.port());
-        if (flight != null) {
-            flight.start();
-            LOG.info("Flight SQL listens on port {}", flight.port());
+        LOG.info("{}, warmed up by {} requests", config.name(), warmed);
+        look(loop.clock().now(), 0);
+        if (!handover.hasElder()) {
+            listen();
+        } else {
+            long until = loop.clock().now() + CATCH_UP;
+            loop.deadlines().add(0, this::catchUp, until);
         }
         try {
             loop.run();
         } finally {
+            handover.leave();
             done.countDown();
         }
+        if (failed != null) {
+            throw failed;
+        }
+    }
+
+    /** The configuration may be as old as the other process: clients come once the change log has told the rest. */
+    private void catchUp(long now, long until) {
+        if (now < until && !(log.hasAnswered() && log.seq() >= handover.seen())) {
+            loop.deadlines().add(now + LOOK_AGAIN, this::catchUp, until);
+            return;
+        }
+        try {
+            listen();
+        } catch (IOException e) {
+            failed = e;
+            loop.stop();
+        }
+    }
+
+    private void listen() throws IOException {
+        front.listen(config.listen());
+        LOG.info("listens on port {}", front.port());
+        if (flight != null) {
+            flight.start();
+            LOG.info("Flight SQL listens on port {}", flight.port());
+        }
+        listening = true;
+        handover.listens(true);
     }
 
     /** On SIGTERM, off the loop's thread: the process ends when this returns. */
@@ -123,7 +179,13 @@
         loop.post(() -> {
             ending = true;
             LOG.info("SIGTERM: {} requests are open", gateway.open());
-            long stopAt = loop.clock().now() + SERVE_ON;
+            handover.look();
+            long now = loop.clock().now();
+            if (handover.hasSuccessor()) {
+                retire(now);
+                return;
+            }
+            long stopAt = now + SERVE_ON;
             lastOpenAt = stopAt;
             loop.deadlines().add(stopAt, this::finish, 0);
         });
@@ -142,14 +204,61 @@
         return listening && !ending;
     }
 
+    /** The other process may have been told a moment ago: that is heard first. */
     @Override
     public boolean disable(String engine) {
-        return gateway.disable(Roster.id(engine));
+        handover.look();
+        long id = Roster.id(engine);
+        if (gateway.knows(id) && !gateway.isDisabled(id)) {
+            gateway.disable(id);
+            handover.say(engine, true);
+        }
+        return gateway.knows(id);
     }
 
     @Override
     public boolean enable(String engine) {
-        return gateway.enable(Roster.id(engine));
+        handover.look();
+        long id = Roster.id(engine);
+        boolean known = gateway.knows(id);
+        if (gateway.isDisabled(id)) {
+            gateway.enable(id, loop.clock().now());
+            handover.say(engine, false);
+        }
+        return known;
+    }
+
+    /** What an operator said to the other process of this front end. */
+    private void heard(String engine, Handover.Word word) {
+        if (word.out()) {
+            gateway.disable(Roster.id(engine));
+        } else {
+            gateway.enable(Roster.id(engine), loop.clock().ofUnixMillis(word.at()));
+        }
+    }
+
+    private void look(long now, long ref) {
+        int before = handover.processes();
+        int serving = handover.serving();
+        handover.look();
+        handover.saw(log.seq());
+        if (handover.processes() != before) {
+            share();
+        } else if (handover.serving() < serving) { // What the other one sent last still counts for the rules.
+            loop.deadlines().add(now + config.settings().settings().rules().coldWindowUs(), (at, none) -> share(), 0);
+        }
+        loop.deadlines().add(now + LOOK, this::look, 0);
+    }
+
+    /** Of all that the limits and the rules allow this front end, its processes have equal parts. */
+    private void share() {
+        LOG.info("processes of this front end: {}", handover.processes());
+        gateway.sharedBy(handover.hasRetired() ? 0 : handover.serving(), handover.place());
+        Descriptors part = Descriptors.of(config.sockets() / handover.processes(), descriptors.own());
+        front.most(part.clients());
+        if (engines instanceof RespEngines resp) {
+            resp.most(part.engines());
+        }
     }
 
     @Override
@@ -157,6 +266,31 @@
         return FiguresJson.of(gateway, config.settings().classNames());
     }
 
+    /** The other process takes all new clients from now on; those that are here are served, and let go at rest. */
+    private void retire(long now) {
+        long last = now + Math.min(LONGEST_STAY, longestDeadline(config.settings().settings())) + SERVE_ON - MARGIN;
+        LOG.info("another process of this front end listens: no more clients here");
+        try {
+            front.retire(last);
+            handover.retires();
+            share();
+            if (flight != null) {
+                flight.stopListening();
+            }
+        } catch (IOException e) {
+            LOG.warn("listener: {}", e.toString());
+        }
+        loop.deadlines().add(now + LOOK_AGAIN, this::retired, last + LAST_WORDS);
+    }
+
+    private void retired(long now, long last) {
+        if (gateway.open() == 0 && front.isEmpty() || now >= last) {
+            loop.stop();
+        } else {
+            loop.deadlines().add(now + LOOK_AGAIN, this::retired, last);
+        }
+    }
+
     private void finish(long now, long ref) {
         try {
             front.stopListening();
--- a/src/main/java/calicostream/platform/RespEngines.java
+++ b/src/main/java/calicostream/platform/RespEngines.java
@@ -67,7 +67,7 @@
     private final SettingsParser.Wiring wiring;
     private final long reportIdleUs;
     private final Map<Long, Engine> engines = new HashMap<>();
-    private final int mostLinks;
+    private int mostLinks;
     private int links;
     private long linksMade;
     private Gateway gateway;
@@ -82,6 +82,10 @@
         reportIdleUs = wiring.idleUs() * 7 / 10;
     }
 
+    void most(int connections) {
+        mostLinks = connections;
+    }
+
     @Override
     public void attach(Gateway to) {
         gateway = to;
--- a/src/test/java/calicostream/core/GatewayTest.java
+++ b/src/test/java/calicostream/core/GatewayTest.java
@@ -149,10 +149,11 @@
     /** What waits for a connection when an operator takes the engine out ends there, and goes elsewhere. */
     @Test
     void anEngineIsUsedOnlyWhereNeitherTheListNorAnOperatorForbidsIt() {
+        pass(2_100_000); // A gateway that has just started sends cold engines nothing.
         gateway.disable(7);
         assertEquals(List.of("withdrawn 7"), told);
         gateway.roster(RosterKind.CHANGES, List.of(engine(7, EngineState.DRAINING), engine(8, EngineState.DRAINING)));
-        assertTrue(gateway.enable(7));
+        gateway.enable(7, time);
         ask(0, 1, 4_000_000);
         assertEquals(List.of(), sent, "the list still forbids it");
         gateway.disable(7);
@@ -161,9 +162,9 @@
         assertEquals(List.of(), sent, "an operator forbids it");
         assertEquals(2, gateway.listed());
         assertEquals(1, gateway.avoided());
-        gateway.enable(7);
+        gateway.enable(7, time);
         assertEquals(7, sent.get(0).engine);
-        assertFalse(gateway.disable(9), "nobody has this id");
+        assertFalse(gateway.knows(9), "nobody has this id");
     }
 
     @Test
--- a/src/test/java/calicostream/wire/Exchange.java
+++ b/src/test/java/calicostream/wire/Exchange.java
@@ -23,8 +23,9 @@
 /**
  * Plays a recorded exchange against the started program. A line is a party, a sign and bytes: '>' is sent by
  * the party, '<' is what the party must receive next, '!' is a word on it. Parties: c1, c2 ... clients (lines),
- * crowd (many clients), a1, a2 ... callers of the admin address (bytes; what they receive is all until it ends),
- * e1, e2 ... engines (commands with '|' between their parts), log and log2 (events), program. In bytes, b64(...) is
+ * crowd (many clients), a1, a2 ... callers of the admin address (bytes; what they receive is all until it ends;
+ * "until" asks for the figures until they are so), b1, b2 ... the same of the successor's, e1, e2 ... engines
+ * (commands with '|' between their parts), log and log2 (events), program, successor. In bytes, b64(...) is
  * base64 and \n, \r, \t, \0 are what they usually are; in what is expected, * stands for any bytes, and in
  * events @e1 for an engine's address and @@ for the time in Unix milliseconds.
  */
@@ -36,9 +37,12 @@
     private final Map<String, ChangeLogStand> logs = Map.of("log", new ChangeLogStand(), "log2", new ChangeLogStand());
     private final Path folder;
     private int sockets = 1024;
+    private final List<String> known = new ArrayList<>();
     private Program program;
+    private Program successor;
     private int port;
     private int admin;
+    private int successorAdmin;
 
     private Exchange(Path folder) throws IOException {
         this.folder = folder;
@@ -74,11 +78,14 @@
     private void step(String party, char sign, String text) throws IOException {
         if (party.equals("program")) {
             program(text);
+        } else if (party.equals("successor")) {
+            assertEquals("start", text);
+            successor();
         } else if (logs.containsKey(party)) {
             log(logs.get(party), sign, text);
         } else if (party.equals("crowd")) {
             crowd(text.split(" "));
-        } else if (party.startsWith("a")) {
+        } else if (party.matches("[ab]\\d+")) {
             operator(party, sign, text);
         } else if (party.startsWith("e")) {
             engine(party, sign, text);
@@ -92,17 +99,18 @@
             if (word.startsWith("sockets ")) {
                 sockets = Integer.parseInt(word.substring(8));
             } else if (word.startsWith("start")) {
-                List<String> known = new ArrayList<>();
                 for (String name : word.substring(5).trim().split(" ")) {
                     if (!name.isEmpty()) {
                         engines.put(name, new RespStand());
                         known.add(Program.endpoint(name, engines.get(name).address(), "Ready", 0));
                     }
                 }
-                program = new Program(folder, logs.get("log").port(), known, sockets);
-                assertEquals("1", logs.get("log").follow());
+                program = started(0);
                 admin = program.port("operators call on port");
                 port = program.port("listens on port");
+            } else if (word.equals("kill")) {
+                program.close();
+                program.awaitExit();
             } else if (word.equals("term")) {
                 program.signal();
                 program.awaitLine("SIGTERM");
@@ -111,7 +119,7 @@
                 program.hangUp();
                 program.awaitLine("stays as it was");
             } else if (word.startsWith("hup ")) {
-                Program.configure(folder, logs.get(word.substring(4)).port(), List.of(), sockets);
+                Program.configure(folder, 0, logs.get(word.substring(4)).port(), List.of(), sockets);
                 program.hangUp();
             } else {
                 assertEquals("exit 0", word);
@@ -123,6 +131,19 @@
         }
     }
 
+    private Program started(int listen) throws IOException {
+        Program started = new Program(folder, listen, logs.get("log").port(), known, sockets);
+        assertEquals("1", logs.get("log").follow());
+        return started;
+    }
+
+    /** The program of an upgrade, on the first one's address and in its folder. */
+    private void successor() throws IOException {
+        successor = started(port);
+        successorAdmin = successor.port("operators call on port");
+        successor.awaitLine("listens on port");
+    }
+
     /** "ask N": so many clients that ask once, have their answer and stay; "silent N"; "ended": none of these stays. */
     private void crowd(String[] words) throws IOException {
         if (words[0].equals("ended")) {
@@ -144,9 +165,20 @@
     /** A caller of the admin address sends bytes, or reads until the program closes. */
     private void operator(String name, char sign, String text) throws IOException {
         if (!clients.containsKey(name)) {
-            clients.put(name, socket(admin));
+            clients.put(name, socket(name.startsWith("a") ? admin : successorAdmin));
         }
-        if (sign == '>') {
+        if (text.startsWith("until ")) {
+            String expected = text.substring(6);
+            for (long end = System.nanoTime() + Program.PATIENCE_MS * 1_000_000; true; operator(name, '!', "connect")) {
+                clients.get(name).getOutputStream().write(bytes("GET /-/metrics HTTP/1.1\\r\\n\\r\\n").getBytes());
+                String got = new String(clients.get(name).getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+                clients.remove(name).close();
+                if (System.nanoTime() > end || pattern(expected).matcher(got).matches()) {
+                    matches(expected, got);
+                    return;
+                }
+            }
+        } else if (sign == '>') {
             clients.get(name).getOutputStream().write(bytes(text).getBytes(StandardCharsets.UTF_8));
         } else if (sign == '<') {
             matches(text, new String(clients.get(name).getInputStream().readAllBytes(), StandardCharsets.UTF_8));
@@ -241,16 +273,21 @@
         return text.replace("\\n", "\n").replace("\\r", "\r").replace("\\t", "\t");
     }
 
+    private static Pattern pattern(String expected) {
+        return Pattern.compile(Pattern.quote(bytes(expected)).replace("*", "\\E.*\\Q"), Pattern.DOTALL);
+    }
+
     private static void matches(String expected, String actual) {
-        String pattern = Pattern.quote(bytes(expected)).replace("*", "\\E.*\\Q");
-        assertTrue(actual != null && Pattern.compile(pattern, Pattern.DOTALL).matcher(actual).matches(),
+        assertTrue(actual != null && pattern(expected).matcher(actual).matches(),
                 "expected " + expected + " but got " + actual);
     }
 
     @Override
     public void close() throws IOException {
-        if (program != null) {
-            program.close();
+        for (Program each : new Program[] {program, successor}) {
+            if (each != null) {
+                each.close();
+            }
         }
         for (ChangeLogStand log : logs.values()) {
             log.close();
--- a/src/test/java/calicostream/wire/Program.java
+++ b/src/test/java/calicostream/wire/Program.java
@@ -41,7 +41,13 @@
     /** The same with a limit on descriptors, which the program heeds by itself. */
     public Program(Path folder, int changelogPort, List<String> endpoints, int sockets, String... deployFiles)
             throws IOException {
-        Path config = configure(folder, changelogPort, endpoints, sockets);
+        this(folder, 0, changelogPort, endpoints, sockets, deployFiles);
+    }
+
+    /** The same where clients connect to this port; 0 lets the program pick one. */
+    public Program(Path folder, int port, int changelogPort, List<String> endpoints, int sockets,
+            String... deployFiles) throws IOException {
+        Path config = configure(folder, port, changelogPort, endpoints, sockets);
         for (int i = 0; i < deployFiles.length; i += 2) {
             Files.writeString(folder.resolve(deployFiles[i]), deployFiles[i + 1]);
         }
@@ -50,9 +56,9 @@
     }
 
     /** Writes the configuration file, also in place of an earlier one. */
-    public static Path configure(Path folder, int changelogPort, List<String> endpoints, int sockets)
+    public static Path configure(Path folder, int port, int changelogPort, List<String> endpoints, int sockets)
             throws IOException {
-        String json = ("{'name':'n1','listen':'127.0.0.1:0','admin':'127.0.0.1:0','seed':'8c1f30d27a5be964','limits':{'sockets':" + sockets
+        String json = ("{'name':'n1','listen':'127.0.0.1:" + port + "','admin':'127.0.0.1:0','seed':'8c1f30d27a5be964','limits':{'sockets':" + sockets
                 + "},'changelog':'127.0.0.1:" + changelogPort + "','known':{'seq':1,'results':["
                 + event(1, true, endpoints) + "]},'settings':" + SETTINGS + "}").replace('\'', '"');
         return Files.writeString(folder.resolve("config.json"), json);
@@ -66,6 +72,7 @@
                 "serve"));
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
         builder.environment().put("NODE_CONFIG", config.toString());
+        builder.environment().put("TMPDIR", folder.toString());
         return builder.start();
     }
 
