--- a/src/main/java/calicostream/Logic.java
+++ b/src/main/java/calicostream/Logic.java
@@ -398,7 +398,8 @@
             return whole / gateways;
         }
         double cycle = 2 * r.coldWindowUs() * heaviest * gateways / Math.max(1, whole);
-        long turn = Math.floorMod(settings.index() * processes + place + (n.id * HASH_SPREAD >>> 33), gateways);
+        long own = settings.index() * processes + place;
+        long turn = Math.floorMod(own + (n.id * HASH_SPREAD >>> 33), gateways);
         double phase = (now - n.coldFrom + cycle * turn / gateways) % cycle;
         return phase < r.coldWindowUs() ? heaviest : 0;
     }
@@ -454,7 +455,8 @@
         forget(takenAt, now - r.rationWindowUs() + 1);
         forget(extraAt, now - r.rationWindowUs());
         return r.rationWindowUs() <= 0
-                || extraAt.size() + 1 <= r.rationFree() / Math.max(1, processes) + r.rationShare() * takenAt.size();
+                || extraAt.size() + 1 <= r.rationFree() / Math.max(1, processes)
+                        + r.rationShare() * takenAt.size();
     }
 
     private static void forget(ArrayDeque<Long> times, long until) {
