An elder process answers what it has in hand before it ends

A line at the elder's end showed one request open for 7 s, taken before SIGTERM with a deadline beyond it: Node.retired stopped the loop after 5.45 s, and the process's end closed the connection without an answer. Excluded: requests that cross the close, half lines, unread answers (none left in that line).

--- a/src/main/java/calicostream/core/Gateway.java
+++ b/src/main/java/calicostream/core/Gateway.java
@@ -6,6 +6,7 @@
 import calicostream.core.Front.Failure;
 import calicostream.core.Watcher.Ending;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -150,6 +151,18 @@
         }
     }
 
+    /** The process ends: what it has in hand is turned away where trying again is harmless, else it has failed. */
+    public void giveUpAll() {
+        List<Request> open = new ArrayList<>();
+        requests.forEach(open::add);
+        for (Request request : open) {
+            tell(r -> {
+                refuse(request.handle, 0);
+                r.abandoned(clock.now(), request.handle);
+            });
+        }
+    }
+
     /** Requests that still wait for their final answer. */
     public int open() {
         return requests.size();
--- a/src/main/java/calicostream/platform/JsonRpcFront.java
+++ b/src/main/java/calicostream/platform/JsonRpcFront.java
@@ -100,6 +100,13 @@
         loop.deadlines().add(now + LET_GO, this::letGo, 0);
     }
 
+    /** Those that have not gone, for the log. */
+    String left() {
+        return clients.stream().map(c -> (c.connection.isFinishing() ? "ended" : "open") + " " + c.open.size() + "+"
+                + c.waiting.size() + "," + c.connection.in().size() + "," + c.connection.unsent() + ","
+                + (loop.clock().now() - c.restsSince) / 1000).toList().toString();
+    }
+
     /** Whether all clients have gone. */
     boolean isEmpty() {
         return clients.isEmpty();
--- a/src/main/java/calicostream/platform/Node.java
+++ b/src/main/java/calicostream/platform/Node.java
@@ -281,10 +281,13 @@
             LOG.warn("listener: {}", e.toString());
         }
         loop.deadlines().add(now + LOOK_AGAIN, this::retired, last + LAST_WORDS);
+        // Deadlines may lie beyond SIGKILL, and a request that this process ends without an answer is lost.
+        loop.deadlines().add(last, (at, ref) -> gateway.giveUpAll(), 0);
     }
 
     private void retired(long now, long last) {
         if (gateway.open() == 0 && front.isEmpty() || now >= last) {
+            LOG.info("served out; left: {} requests, clients {}", gateway.open(), front.left());
             loop.stop();
         } else {
             loop.deadlines().add(now + LOOK_AGAIN, this::retired, last);
--- a/src/test/java/calicostream/core/GatewayTest.java
+++ b/src/test/java/calicostream/core/GatewayTest.java
@@ -146,6 +146,18 @@
         assertEquals(List.of("failed 1 ENGINE"), told);
     }
 
+    /** A process that ends owes an answer to what it has in hand, whatever its deadline. */
+    @Test
+    void givingUpAllRefusesWhatMayBeAskedAgainAndFailsWhatMayHaveRun() {
+        ask(0, 1, 4_000_000);
+        ask(1, 2, 20_000_000);
+        gateway.giveUpAll();
+        assertEquals(List.of("stop 0", "refused 1", "stop 0", "failed 2 ENGINE"), told);
+        assertEquals(0, gateway.open());
+        pass(21_000_000);
+        assertEquals(4, told.size(), told.toString());
+    }
+
     /** What waits for a connection when an operator takes the engine out ends there, and goes elsewhere. */
     @Test
     void anEngineIsUsedOnlyWhereNeitherTheListNorAnOperatorForbidsIt() {
