--- a/src/main/java/calicostream/Logic.java
+++ b/src/main/java/calicostream/Logic.java
@@ -62,7 +62,7 @@
 
     static final double COLD_PART = 0.8; // part of the cold allowance used at most: usual work is an estimate
     static final int KNOWN_RUNS = 10; // answers after which a class's run time tells more than the guess
-    static final double FASTER = 1.15; // work in a core's time at most: told cores differ that much
+    static final double LEAST_RISES = 1.002; // an answer: the least run time of a class is forgotten
     static final double CORE_YIELD = 0.75; // work of a told core at capacity: 85% busy, some slower
     static final long ANSWER_TICKS = 2; // ticks before the client's deadline at which we end a query
     static final double QUOTA_CHANCE = 4; // queries that a tenant may save up besides a second of its quota
@@ -133,7 +133,7 @@
 
     private static final class Learned {
         final Bias cost = new Bias(), memory = new Bias();
-        double usual, run;
+        double usual, run, least;
         int seen, runs;
     }
 
@@ -413,11 +413,7 @@
         return sent + weight(job) <= coldAllowance(n, now);
     }
 
-    /** Work that a query brings: as long as its threads usually run at most, where nothing tells more. */
     private static double weight(Job job) {
-        if (job.learned.usual <= 0 && job.learned.runs >= KNOWN_RUNS) {
-            return job.learned.run * job.spec.threads() * FASTER;
-        }
         return job.learned.usual > 0 ? job.learned.usual : Math.max(job.cost, FIRST_WORK);
     }
 
@@ -757,6 +753,11 @@
                 known.usual += (work - known.usual) * Math.max(LEARN, 1.0 / ++known.seen);
             }
         }
+        if (work <= 0 && job.query.costUs() <= 0 && known.runs >= KNOWN_RUNS) {
+            // Nothing tells what it took: at most what its threads need where little else runs.
+            known.least = Math.min(known.run, known.least > 0 ? known.least * LEAST_RISES : known.run);
+            known.usual = known.least * job.spec.threads();
+        }
         known.memory.learn(end.memoryMb(), job.query.memoryMb());
     }
 
--- a/src/test/java/calicostream/BehaviourTest.java
+++ b/src/test/java/calicostream/BehaviourTest.java
@@ -68,6 +68,25 @@
         assertNotEquals(home, r.last().engine());
     }
 
+    /** Where neither hints nor answers tell the work of a query, its class's run times do. */
+    @Test
+    void shortClassGoesFirstWhereRunTimesAreAllThatTellsWork() {
+        Recorder r = Recorder.with(1, LOOK, WIDE);
+        for (int i = 1; i <= 40; i++) {
+            r.ask(i, i % 2, 0, 0, i, 0);
+            r.pass(i % 2 == 0 ? 20 * MS : 1000 * MS);
+            r.end(r.lastOf(i), Outcome.OK);
+        }
+        for (int i = 101; i <= 106; i++) { // 12 threads and 3 of the 15 that 8 cores have room for
+            r.ask(i, i <= 103 ? 1 : 0, 0, 0, i, 0);
+        }
+        r.ask(200, 1, 0, 0, 200, 0);
+        r.ask(201, 0, 0, 0, 201, 0);
+        assertTrue(r.last(106));
+        r.end(r.lastOf(101), Outcome.OK);
+        assertTrue(r.last(201), "the short one");
+    }
+
     @Test
     void loadedGroupGainsTheEngineThatReportsLeast() {
         Recorder r = Recorder.with(3, LOOK);
--- a/src/test/java/calicostream/RulesTest.java
+++ b/src/test/java/calicostream/RulesTest.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Each of the seven rules, one case at a time. */
@@ -224,20 +225,22 @@
         assertEquals(20 + 5, r.sent.size());
     }
 
-    /** Many gateways together: in no window is a cold engine sent more than the rule allows. */
+    /** Many gateways together, of one process or two: in no window is a cold engine sent more than the rule allows. */
     @ParameterizedTest
-    @ValueSource(ints = {1, 2, 7, 40, 300})
-    void allGatewaysTogetherKeepAColdEngineWithinItsCapacity(int gateways) {
+    @CsvSource({"1, 1", "2, 1", "7, 1", "40, 1", "300, 1", "1, 2", "3, 2", "40, 2"})
+    void allGatewaysTogetherKeepAColdEngineWithinItsCapacity(int gateways, int processes) {
         QueryRouter.Settings s = Recorder.settings(gateways, LOOK);
         double limit = s.rules().coldMultiple() * s.rules().coldShare() * 8 * s.rules().coldWindowUs();
         java.util.TreeMap<Long, Double> sent = new java.util.TreeMap<>();
-        for (int g = 0; g < gateways; g++) {
+        for (int i = 0; i < gateways * processes; i++) {
+            int g = i / processes;
             Recorder r = new Recorder(new QueryRouter.Settings(gateways, g, 0, 0, s.kinds(), s.classes(), s.tenants(), 1,
                     s.limits(), s.rules(), s.engines(), s.reporting(), false, s.tickUs()));
+            r.logic.sharedBy(r.now, processes, i % processes);
             r.roster(RosterKind.COMPLETE, engine(1, Recorder.START, EngineState.READY));
-            for (int i = 0; i < 90; i++) {
-                r.ask(i, 0, 0, 0, 1, 2 * S);
-                if (r.last(i)) {
+            for (int q = 0; q < 90; q++) {
+                r.ask(q, 0, 0, 0, 1, 2 * S);
+                if (r.last(q)) {
                     sent.merge(r.now, 2.0 * S, Double::sum);
                     r.end(r.last(), Outcome.OK, 2000, 50);
                 }
@@ -252,6 +255,18 @@
         assertTrue(most > 0 && most <= limit, most / S + " of " + limit / S + " core-seconds");
     }
 
+    @Test
+    void processThatLeavesItsPartToAnotherSendsColdEnginesNothing() {
+        Recorder r = Recorder.with(0, LOOK);
+        r.logic.sharedBy(r.now, 0, 0);
+        r.roster(RosterKind.COMPLETE, engine(1, Recorder.START, EngineState.READY));
+        r.ask(1, 0);
+        assertTrue(r.sent.isEmpty());
+        r.logic.sharedBy(r.now, 1, 0);
+        r.pass(100 * MS);
+        assertTrue(r.last(1));
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {1, 300})
     void fleetThatVanishesAndReturnsLeavesNoQueryUnanswered(int gateways) {
