--- a/src/main/java/calicostream/Logic.java
+++ b/src/main/java/calicostream/Logic.java
@@ -405,8 +405,8 @@
     }
 
     private boolean warmEnough(long now, Job job, Node n) {
-        if (!cold(n, now) || processes == 0) { // Another process of this gateway has all of our part.
-            return !cold(n, now);
+        if (!cold(n, now)) {
+            return true;
         }
         n.coldSent.removeIf(each -> each[0] <= now - settings.rules().coldWindowUs());
         double sent = n.coldSent.stream().mapToDouble(each -> each[1]).sum();
@@ -451,8 +451,7 @@
         forget(takenAt, now - r.rationWindowUs() + 1);
         forget(extraAt, now - r.rationWindowUs());
         return r.rationWindowUs() <= 0
-                || extraAt.size() + 1 <= r.rationFree() / Math.max(1, processes)
-                        + r.rationShare() * takenAt.size();
+                || extraAt.size() + 1 <= r.rationFree() / processes + r.rationShare() * takenAt.size();
     }
 
     private static void forget(ArrayDeque<Long> times, long until) {
--- a/src/main/java/calicostream/QueryRouter.java
+++ b/src/main/java/calicostream/QueryRouter.java
@@ -49,7 +49,7 @@
 
     /**
      * For now so many processes are this one gateway, each with clients of its own; this one has this place among
-     * them, from 0. What the rules allow the gateway, they share; 0 processes: the others have all of it.
+     * them, from 0. What the rules allow the gateway, they share.
      */
     void sharedBy(long now, int processes, int place);
 
--- a/src/main/java/calicostream/platform/Handover.java
+++ b/src/main/java/calicostream/platform/Handover.java
@@ -30,7 +30,7 @@
     /** What the operators said last of an engine, and when, in Unix milliseconds. */
     record Word(long at, boolean out) { }
 
-    private record Peer(long generation, boolean listening, boolean retired, long seq) { }
+    private record Peer(long generation, boolean listening, long seq) { }
 
     private static final Logger LOG = LoggerFactory.getLogger(Handover.class);
     private static final int VERSION = 1;
@@ -51,7 +51,6 @@
     private long generation = 1;
     private long seq;
     private boolean listening;
-    private boolean retired;
 
     /** Without a folder there is nobody to tell. {@code heard} is told of words that came later than all before. */
     Handover(Path folder, String name, BiConsumer<String, Word> heard) {
@@ -89,28 +88,13 @@
         return peers.values().stream().anyMatch(p -> p.generation > generation && p.listening);
     }
 
-    /** Processes that live, this one included. */
+    /** Processes that live, this one included, and its place among them, the oldest at 0. */
     int processes() {
         return 1 + peers.size();
     }
 
-    /** Of these, the ones that take new requests, and this one's place among them, the oldest at 0. */
-    int serving() {
-        return (retired ? 0 : 1) + (int) peers.values().stream().filter(p -> !p.retired).count();
-    }
-
     int place() {
-        return (int) peers.values().stream().filter(p -> !p.retired && p.generation < generation).count();
-    }
-
-    boolean hasRetired() {
-        return retired;
-    }
-
-    /** This process takes no more clients, and leaves what the rules allow to its successor. */
-    void retires() {
-        retired = true;
-        listens(false);
+        return (int) peers.values().stream().filter(p -> p.generation < generation).count();
     }
 
     /** The last event of the change log that any other process has seen. */
@@ -197,7 +181,7 @@
                 return null;
             }
             Peer peer = new Peer(root.getLong("generation", 0), root.getBoolean("listening", false),
-                    root.getBoolean("retired", false), root.getLong("seq", 0));
+                    root.getLong("seq", 0));
             Map<String, Word> told = new HashMap<>();
             for (JsonObject.Member member : root.get("engines").asObject()) {
                 JsonObject word = member.getValue().asObject();
@@ -229,7 +213,7 @@
         JsonObject engines = Json.object();
         words.forEach((name, word) -> engines.add(name, Json.object().add("at", word.at).add("out", word.out)));
         String text = Json.object().add("version", VERSION).add("generation", generation).add("listening", listening)
-                .add("retired", retired).add("seq", seq).add("engines", engines).toString();
+                .add("seq", seq).add("engines", engines).toString();
         try {
             Path made = Files.writeString(folder.resolve(own + ".new"), text);
             Files.move(made, folder.resolve(own + STATE), StandardCopyOption.ATOMIC_MOVE);
--- a/src/main/java/calicostream/platform/Node.java
+++ b/src/main/java/calicostream/platform/Node.java
@@ -239,13 +239,10 @@
 
     private void look(long now, long ref) {
         int before = handover.processes();
-        int serving = handover.serving();
         handover.look();
         handover.saw(log.seq());
         if (handover.processes() != before) {
             share();
-        } else if (handover.serving() < serving) { // What the other one sent last still counts for the rules.
-            loop.deadlines().add(now + config.settings().settings().rules().coldWindowUs(), (at, none) -> share(), 0);
         }
         loop.deadlines().add(now + LOOK, this::look, 0);
     }
@@ -253,7 +250,7 @@
     /** Of all that the limits and the rules allow this front end, its processes have equal parts. */
     private void share() {
         LOG.info("processes of this front end: {}", handover.processes());
-        gateway.sharedBy(handover.hasRetired() ? 0 : handover.serving(), handover.place());
+        gateway.sharedBy(handover.processes(), handover.place());
         Descriptors part = Descriptors.of(config.sockets() / handover.processes(), descriptors.own());
         front.most(part.clients());
         if (engines instanceof RespEngines resp) {
@@ -272,8 +269,7 @@
         LOG.info("another process of this front end listens: no more clients here");
         try {
             front.retire(last);
-            handover.retires();
-            share();
+            handover.listens(false);
             if (flight != null) {
                 flight.stopListening();
             }
