A new process starts with what the elder's module learned of each class's work

Seen: each of six upgrades in 25 s began again with 1 s of work for every class, so reports had priority 3 and went first for the seconds that ten answers of each class take. The elder writes its learned run times when a younger one joins; it takes them before it listens.

--- a/src/main/java/calicostream/Logic.java
+++ b/src/main/java/calicostream/Logic.java
@@ -911,6 +911,22 @@
         }
     }
 
+    @Override
+    public double[] learned() {
+        return Arrays.stream(learned).mapToDouble(known -> known.least).toArray();
+    }
+
+    @Override
+    public void learned(double[] before) {
+        for (int i = 0; i < Math.min(before.length, learned.length); i++) {
+            if (before[i] > 0 && learned[i].runs < KNOWN_RUNS) {
+                learned[i].runs = KNOWN_RUNS;
+                learned[i].run = learned[i].least = before[i];
+                learned[i].usual = before[i] * settings.classes().get(i).threads();
+            }
+        }
+    }
+
     @Override
     public void sharedBy(long now, int sharers, int number) {
         processes = sharers;
--- a/src/main/java/calicostream/QueryRouter.java
+++ b/src/main/java/calicostream/QueryRouter.java
@@ -53,6 +53,12 @@
      */
     void sharedBy(long now, int processes, int place);
 
+    /** What it has learned of each class's work, in microseconds, 0 where nothing; another process may start with it. */
+    double[] learned();
+
+    /** What another process of this gateway has learned, for classes of which this one knows nothing yet. */
+    void learned(double[] before);
+
     /** Whether the module leaves this engine out by its own choice, but for trials. */
     boolean avoids(long engine);
 
--- a/src/main/java/calicostream/core/Gateway.java
+++ b/src/main/java/calicostream/core/Gateway.java
@@ -222,6 +222,15 @@
         tell(r -> r.sharedBy(clock.now(), processes, place));
     }
 
+    /** What the module has learned that another process of this front end can start with. */
+    public double[] learned() {
+        return router.learned();
+    }
+
+    public void learned(double[] before) {
+        tell(r -> r.learned(before));
+    }
+
     private void hear(QueryRouter.Engine listed) {
         if (listed != null) {
             roster(QueryRouter.RosterKind.CHANGES, List.of(listed));
--- a/src/main/java/calicostream/platform/Handover.java
+++ b/src/main/java/calicostream/platform/Handover.java
@@ -3,6 +3,7 @@
 
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonObject;
+import com.eclipsesource.json.JsonValue;
 import com.eclipsesource.json.ParseException;
 import java.io.IOException;
 import java.nio.channels.FileChannel;
@@ -30,7 +31,7 @@
     /** What the operators said last of an engine, and when, in Unix milliseconds. */
     record Word(long at, boolean out) { }
 
-    private record Peer(long generation, boolean listening, long seq) { }
+    private record Peer(long generation, boolean listening, long seq, double[] learned) { }
 
     private static final Logger LOG = LoggerFactory.getLogger(Handover.class);
     private static final int VERSION = 1;
@@ -39,6 +40,7 @@
     private static final long LONGEST_NAME = 256;
     private static final long REMEMBERED = 60_000; // ms for which a call back is of use: longer than any warm-up
     private static final long AHEAD = 5_000; // ms that a word may seem to come from the future
+    private static final double LONGEST_RUN = 600e6; // us: what a query is said to run for longer is no run time
     private static final String LOCK = ".lock";
     private static final String STATE = ".state";
     private final Path folder;
@@ -51,6 +53,7 @@
     private long generation = 1;
     private long seq;
     private boolean listening;
+    private double[] learned = {};
 
     /** Without a folder there is nobody to tell. {@code heard} is told of words that came later than all before. */
     Handover(Path folder, String name, BiConsumer<String, Word> heard) {
@@ -114,6 +117,18 @@
         }
     }
 
+    /** What this process's module has learned; a process that starts reads it. */
+    void learned(double[] values) {
+        learned = values;
+        write();
+    }
+
+    /** What the elder's module had learned, empty where there is none. */
+    double[] before() {
+        return peers.values().stream().filter(p -> p.generation < generation).map(Peer::learned)
+                .filter(values -> values.length > 0).findFirst().orElse(new double[0]);
+    }
+
     /** An operator has said something new of an engine to this process. */
     void say(String engine, boolean out) {
         Word last = words.get(engine);
@@ -181,7 +196,7 @@
                 return null;
             }
             Peer peer = new Peer(root.getLong("generation", 0), root.getBoolean("listening", false),
-                    root.getLong("seq", 0));
+                    root.getLong("seq", 0), learned(root.get("learned")));
             Map<String, Word> told = new HashMap<>();
             for (JsonObject.Member member : root.get("engines").asObject()) {
                 JsonObject word = member.getValue().asObject();
@@ -195,6 +210,15 @@
         }
     }
 
+    private static double[] learned(JsonValue values) {
+        double[] read = new double[values == null ? 0 : values.asArray().size()];
+        for (int i = 0; i < read.length; i++) {
+            double value = values.asArray().get(i).asDouble();
+            read[i] = value > 0 && value < LONGEST_RUN ? value : 0;
+        }
+        return read;
+    }
+
     private void hear(String engine, Word word) {
         Word last = words.get(engine);
         long now = System.currentTimeMillis();
@@ -213,7 +237,7 @@
         JsonObject engines = Json.object();
         words.forEach((name, word) -> engines.add(name, Json.object().add("at", word.at).add("out", word.out)));
         String text = Json.object().add("version", VERSION).add("generation", generation).add("listening", listening)
-                .add("seq", seq).add("engines", engines).toString();
+                .add("seq", seq).add("learned", Json.array(learned)).add("engines", engines).toString();
         try {
             Path made = Files.writeString(folder.resolve(own + ".new"), text);
             Files.move(made, folder.resolve(own + STATE), StandardCopyOption.ATOMIC_MOVE);
--- a/src/main/java/calicostream/platform/Node.java
+++ b/src/main/java/calicostream/platform/Node.java
@@ -164,6 +164,7 @@
     }
 
     private void listen() throws IOException {
+        gateway.learned(handover.before());
         front.listen(config.listen());
         LOG.info("listens on port {}", front.port());
         if (flight != null) {
@@ -243,6 +244,7 @@
         handover.saw(log.seq());
         if (handover.processes() != before) {
             share();
+            handover.learned(gateway.learned());
         }
         loop.deadlines().add(now + LOOK, this::look, 0);
     }
--- a/src/test/java/calicostream/BehaviourTest.java
+++ b/src/test/java/calicostream/BehaviourTest.java
@@ -6,6 +6,7 @@
 import static calicostream.Recorder.engine;
 import static calicostream.Recorder.look;
 import static calicostream.Recorder.queryClass;
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -85,6 +86,9 @@
         assertTrue(r.last(106));
         r.end(r.lastOf(101), Outcome.OK);
         assertTrue(r.last(201), "the short one");
+        Recorder next = Recorder.with(1, LOOK, WIDE);
+        next.logic.learned(r.logic.learned());
+        assertArrayEquals(r.logic.learned(), next.logic.learned());
     }
 
     @Test
--- a/src/test/java/calicostream/platform/HandoverTest.java
+++ b/src/test/java/calicostream/platform/HandoverTest.java
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 package calicostream.platform;
 
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -38,6 +39,9 @@
         assertTrue(younger.hasElder());
         elder.look();
         assertFalse(elder.hasSuccessor(), "it does not listen yet");
+        elder.learned(new double[] {40_000, 0, -1, 1e300});
+        younger.look();
+        assertArrayEquals(new double[] {40_000, 0, 0, 0}, younger.before());
         younger.listens(true);
         younger.say("e1", false);
         elder.look();
