Slow lines are not stopped ones; Flight SQL listens beside an elder; bans tested on both

Now 2.6 s, and one that wrote within 1.1 s counts as new. With Flight SQL on, a second process could not bind its address (a BindException in the new test).

--- a/src/main/java/calicostream/flight/FlightFront.java
+++ b/src/main/java/calicostream/flight/FlightFront.java
@@ -12,8 +12,11 @@
 import com.google.protobuf.Any;
 import com.google.protobuf.ByteString;
 import com.google.protobuf.Message;
+import io.grpc.netty.NettyServerBuilder;
+import io.netty.channel.socket.nio.NioChannelOption;
 import java.io.ByteArrayInputStream;
 import java.io.IOException;
+import java.net.StandardSocketOptions;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
@@ -26,6 +29,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import org.apache.arrow.flight.BackpressureStrategy;
 import org.apache.arrow.flight.CallStatus;
 import org.apache.arrow.flight.ErrorFlightMetadata;
@@ -102,7 +106,11 @@
 
     public void start() throws IOException {
         Location at = Location.forGrpcInsecure(config.listen().getHostString(), config.listen().getPort());
-        server = FlightServer.builder(allocator, at, this).middleware(CallStart.KEY, new CallStart.Factory()).build();
+        server = FlightServer.builder(allocator, at, this).middleware(CallStart.KEY, new CallStart.Factory())
+                // At an upgrade another process of this front end listens here, too.
+                .transportHint("grpc.builderConsumer", (Consumer<NettyServerBuilder>) builder -> builder.withOption(
+                        NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true))
+                .build();
         server.start();
     }
 
--- a/src/main/java/calicostream/platform/JsonRpcFront.java
+++ b/src/main/java/calicostream/platform/JsonRpcFront.java
@@ -27,7 +27,9 @@
     private static final int BOUND_OUT = 128 * 1024;
     private static final int MOST_OPEN = 32;
     private static final int LINES_A_TURN = 8; // of one client, before the others have their turn
-    private static final long HALF_LINE = 2_000_000; // us to end a line, or for a client never served to ask again
+    private static final long SPEAKS = 2_000_000; // us for a client never served to begin to ask
+    private static final long HALF_LINE = 2_600_000; // us to end a line: some write theirs in 2 s
+    private static final long PIECES = 1_100_000; // us between pieces of a line that is still being written
     private static final long REST = 8_000_000; // us without a request: usual clients close after half of it
     private static final long SAYS_SOON = 250_000; // us after which a client that connects has its reason to
     private static final long HEARD = 20_000; // us in which what a client sent has surely been read
@@ -196,6 +198,7 @@
         long lastId;
         long restsSince = loop.clock().now();
         long lineSince;
+        long heardAt;
         int scanned;
         boolean served;
 
@@ -208,7 +211,8 @@
         int need(long now) {
             boolean busy = !open.isEmpty() || !waiting.isEmpty() || connection.unsent() > 0;
             long rested = now - restsSince;
-            return busy || rested < HEARD ? NEEDED : served ? 1 : rested > SAYS_SOON ? 0 : 2;
+            boolean writes = connection.in().size() > 0 && now - heardAt < PIECES;
+            return busy || rested < HEARD ? NEEDED : writes ? 2 : served ? 1 : rested > SAYS_SOON ? 0 : 2;
         }
 
         /** A client that does not read gets no more read from it until its answers have gone. */
@@ -237,6 +241,7 @@
         @Override
         public void received(Connection c) {
             Ring in = c.in();
+            heardAt = loop.clock().now();
             lineSince = scanned == 0 ? loop.clock().now() : lineSince;
             for (int i = 0; i < LINES_A_TURN && waiting.isEmpty() && !c.isClosed() && !c.isFinishing(); i++) {
                 int end = in.indexOf((byte) '\n', scanned);
@@ -287,7 +292,7 @@
             }
             if (half && now - (served ? lineSince : restsSince) > HALF_LINE) {
                 end("the line did not end in time");
-            } else if (connection.in().size() == 0 && now - restsSince > (served ? REST : HALF_LINE)) {
+            } else if (connection.in().size() == 0 && now - restsSince > (served ? REST : SPEAKS)) {
                 connection.close();
             }
         }
--- a/src/test/java/calicostream/wire/FaultRunsTest.java
+++ b/src/test/java/calicostream/wire/FaultRunsTest.java
@@ -40,6 +40,7 @@
         private final List<Stand.Engine> engines = new ArrayList<>();
         private ChangeLogStand log;
         private Program program;
+        private int admin;
 
         abstract Stand stand();
 
@@ -52,6 +53,7 @@
             log = new ChangeLogStand();
             program = new Program(folder, log.port(), known, stand.deploy());
             log.follow();
+            admin = program.port("operators call on port");
             stand.connect(program);
         }
 
@@ -191,6 +193,32 @@
             }
         }
 
+        /** Taken out by hand, put back: the same figures and the same engine on both protocols. */
+        @Test
+        void engineTakenOutByHandGetsNothingUntilItIsPutBack() throws Exception {
+            start(2);
+            Stand.Answer before = stand.ask("lookup", READ, 9000);
+            Stand.Engine first = arrivedAt();
+            first.next().serve("row");
+            assertEquals("served row", before.await());
+            String path = "POST /-/engines/e" + engines.indexOf(first);
+            assertTrue(Program.call(admin, path + "/disable").startsWith("HTTP/1.1 200 "));
+            Stand.Engine other = engines.get(1 - engines.indexOf(first));
+            for (int i = 0; i < 5; i++) {
+                Stand.Answer answer = stand.ask("lookup", READ, 9000);
+                other.next().serve("row");
+                assertEquals("served row", answer.await());
+            }
+            String figures = Program.call(admin, "GET /-/metrics");
+            assertTrue(figures.endsWith("{\"ok\":{\"lookup\":6,\"report\":0,\"stat-load\":0},\"shed\":{\"lookup\":0,"
+                    + "\"report\":0,\"stat-load\":0},\"errors\":{\"lookup\":0,\"report\":0,\"stat-load\":0},"
+                    + "\"tries\":6,\"active\":0,\"pool_size\":2,\"pool_ejected\":1}\n"), figures);
+            assertTrue(Program.call(admin, path + "/enable").startsWith("HTTP/1.1 200 "));
+            Stand.Answer after = stand.ask("lookup", READ, 9000);
+            first.next().serve("row");
+            assertEquals("served row", after.await());
+        }
+
         @Test
         void coldEngineIsSpared() throws Exception {
             start(1);
--- a/src/test/java/calicostream/wire/FlightFrontTest.java
+++ b/src/test/java/calicostream/wire/FlightFrontTest.java
@@ -53,6 +53,15 @@
         engine.die();
     }
 
+    /** At an upgrade a second process starts beside the first, on the same address. */
+    @Test
+    void secondProcessListensOnTheSameAddress() throws Exception {
+        String known = Program.endpoint("e1", engine.address(), "Ready", 0);
+        try (Program second = new Program(folder, log.port(), List.of(known), FlightStand.deploy(stand.port()))) {
+            assertEquals(stand.port(), second.port("Flight SQL listens on port"));
+        }
+    }
+
     private static void assertStatus(FlightStatusCode code, Executable call) {
         assertEquals(code, assertThrows(FlightRuntimeException.class, call).status().code());
     }
--- a/src/test/java/calicostream/wire/Program.java
+++ b/src/test/java/calicostream/wire/Program.java
@@ -3,7 +3,9 @@
 
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -93,6 +95,16 @@
         return Integer.parseInt(line.substring(line.lastIndexOf(' ') + 1));
     }
 
+    /** One call at an admin address: all of the answer. */
+    public static String call(int admin, String methodAndPath) throws IOException {
+        try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), admin)) {
+            caller.setSoTimeout((int) PATIENCE_MS);
+            caller.getOutputStream().write((methodAndPath + " HTTP/1.1\r\nHost: n1\r\n\r\n")
+                    .getBytes(StandardCharsets.US_ASCII));
+            return new String(caller.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
     /** Waits for a log line that has this text. */
     public String awaitLine(String of) throws IOException {
         for (String line = log.readLine(); line != null; line = log.readLine()) {
