Stand-in engine that dies resets what a waiting accept still took

The stand-in's accepting thread can take one more connection while its socket closes, which die() then left open and silent, so the look-up waited there past its 1.5 s.

--- a/src/test/java/calicostream/wire/RespStand.java
+++ b/src/test/java/calicostream/wire/RespStand.java
@@ -26,6 +26,7 @@
     private final Queue<Peer> peers = new ConcurrentLinkedQueue<>();
     private final Map<String, Peer> asked = new ConcurrentHashMap<>();
     private volatile Peer last;
+    private volatile boolean dead;
 
     private record Command(Peer from, String text) { }
 
@@ -36,6 +37,9 @@
             while (true) {
                 Peer peer = new Peer(server.accept(), new CountDownLatch(1));
                 peers.add(peer);
+                if (dead) { // A thread that waits in accept may take one more while the socket closes.
+                    reset(peer);
+                }
                 PlatformStand.daemon(() -> read(peer));
             }
         });
@@ -116,6 +120,7 @@
 
     /** Resets all connections and listens no more, as a process does that dies. */
     public void die() throws IOException {
+        dead = true;
         server.close();
         for (Peer peer : peers) {
             reset(peer);
