Reports count an engine as full where its memory or disks are full

Logic.report took the lesser of what was counted and what the cores' share tells whenever util was under 0.85, so an engine whose queries spill or wait for disks looked half empty to all of them. Ruled out: late lists (the engines were ready all the time), the guard of cold engines (the worst were warm), late reports (reports of 0.3 s told the same). Change: a report keeps the fullest of memory granted and disks busy, which the settings define as x0 and x1, beside the cores' share.

--- a/src/main/java/calicostream/Logic.java
+++ b/src/main/java/calicostream/Logic.java
@@ -993,8 +993,9 @@
     private void report(long now, Node n, Report report) {
         double each = Math.max(1, smoothThreads / Math.max(1e-9, smoothQueries));
         double counted = (report.running() - n.running.size()) * each;
-        double busy = report.utilization() / BUSY_FULL * ROOM * n.cores - n.ownThreads;
-        boolean idle = report.utilization() < BUSY_FULL; // What is counted beyond it waits, and is no load.
+        double full = Math.max(report.utilization(), report.saturation()); // Cores idle in a jam.
+        double busy = full / BUSY_FULL * ROOM * n.cores - n.ownThreads;
+        boolean idle = full < BUSY_FULL; // What is counted beyond it waits, and is no load.
         double others = Double.isNaN(counted) ? busy : idle ? Math.min(counted, busy) : counted;
         if (!Double.isNaN(others)) {
             view(now, n, Math.max(0, others), Math.min(REPORT_WEIGHT, (now - n.reportAt) / SMOOTH));
--- a/src/main/java/calicostream/QueryRouter.java
+++ b/src/main/java/calicostream/QueryRouter.java
@@ -155,16 +155,25 @@
     record AttemptEnd(long query, int attempt, long engine, Outcome outcome, boolean over, long elapsedUs,
             double workMs, double memoryMb, Report report) { }
 
-    /** A load report; a value that the engine does not tell is NaN. */
-    record Report(double running, double utilization) {
+    /**
+     * A load report; what the engine does not tell of its queries and cores is NaN. {@code saturation}: the fullest of what
+     * its queries share beside the cores, memory granted or disks busy, as a share; 0 where it is not told.
+     */
+    record Report(double running, double utilization, double saturation) {
         /** A report that tells nothing yet. */
-        public static final Report NOTHING = new Report(Double.NaN, Double.NaN);
+        public static final Report NOTHING = new Report(Double.NaN, Double.NaN, 0);
+
+        /** A report of queries and cores alone. */
+        public Report(double running, double utilization) {
+            this(running, utilization, 0);
+        }
 
         /** This report with a column of the engine's load report set; columns of no use here are passed over. */
         public Report with(String column, double value) {
             switch (column) {
-                case "inflight": return new Report(value, utilization);
-                case "util": return new Report(running, value);
+                case "inflight": return new Report(value, utilization, saturation);
+                case "util": return new Report(running, value, saturation);
+                case "x0", "x1": return new Report(running, utilization, Math.max(saturation, value));
                 default: return this;
             }
         }
--- a/src/test/java/calicostream/BehaviourTest.java
+++ b/src/test/java/calicostream/BehaviourTest.java
@@ -111,6 +111,24 @@
         assertArrayEquals(r.logic.learned(), next.logic.learned());
     }
 
+    /** Cores stand idle where queries wait for disks or spill: such an engine has no room, whatever its cores report. */
+    @Test
+    void engineWhoseMemoryOrDisksAreFullHasNoRoomThoughItsCoresIdle() {
+        for (String column : List.of("x0", "x1")) {
+            Recorder r = Recorder.with(1, LOOK);
+            QueryRouter.Report cores = QueryRouter.Report.NOTHING.with("inflight", 58).with("util", 0.58);
+            r.logic.probed(r.now, 1, Outcome.OK, cores.with(column, 0.6));
+            r.ask(1, 0);
+            assertTrue(r.last(1), "what is counted beyond the cores waits, and is no load");
+            r.end(r.last(), Outcome.OK, 100, 50);
+            r.logic.probed(r.now, 1, Outcome.OK, cores.with(column, 1.6));
+            r.now += S;
+            r.logic.probed(r.now, 1, Outcome.OK, cores.with(column, 1.6));
+            r.ask(2, 0);
+            assertTrue(r.last(1), column);
+        }
+    }
+
     @Test
     void loadedGroupGainsTheEngineThatReportsLeast() {
         Recorder r = Recorder.with(3, LOOK);
