--- a/src/main/java/calicostream/Logic.java
+++ b/src/main/java/calicostream/Logic.java
@@ -61,6 +61,7 @@
     static final double SLOWEST = 6; // slowdown that one answer may suggest: a stray one is no rule
 
     static final double COLD_PART = 0.8; // part of the cold allowance used at most: usual work is an estimate
+    static final int TURNS = 4; // to a window of the rule on cold engines: shorter ones waste less of it
     static final int KNOWN_RUNS = 10; // answers after which a class's run time tells more than the guess
     static final double LEAST_RISES = 1.002; // an answer: the least run time of a class is forgotten
     static final double CORE_YIELD = 0.75; // work of a told core at capacity: 85% busy, some slower
@@ -416,11 +417,12 @@
         if (whole / gateways >= heaviest) {
             return whole / gateways;
         }
-        double cycle = 2 * r.coldWindowUs() * heaviest * gateways / Math.max(1, whole);
+        long turn = r.coldWindowUs() / TURNS;
+        double cycle = (r.coldWindowUs() + turn) * heaviest * gateways / Math.max(1, whole);
         long own = settings.index() * processes + place;
-        long turn = Math.floorMod(own + (n.id * HASH_SPREAD >>> 33), gateways);
-        double phase = (now - n.coldFrom + cycle * turn / gateways) % cycle;
-        return phase < r.coldWindowUs() ? heaviest : 0;
+        long number = Math.floorMod(own + (n.id * HASH_SPREAD >>> 33), gateways);
+        double phase = (now - n.coldFrom + cycle * number / gateways) % cycle;
+        return phase < turn ? heaviest : 0;
     }
 
     private boolean warmEnough(long now, Job job, Node n) {
--- a/src/main/java/calicostream/platform/ChangeLog.java
+++ b/src/main/java/calicostream/platform/ChangeLog.java
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 package calicostream.platform;
 
+import calicostream.listing.Asking;
 import calicostream.net.BadInput;
 import calicostream.net.Connection;
 import calicostream.net.Loop;
@@ -18,27 +19,23 @@
 final class ChangeLog {
     private static final Logger LOG = LoggerFactory.getLogger(ChangeLog.class);
     private static final int BOUND = 64 * 1024;
-    private static final long SILENT = 2_100_000; // us: a comment comes each second, and one may be late
-    private static final long UNBEGUN = 700_000; // us to connect and have the head of the answer
     private static final long SETTLED = 25_000; // us without a byte after which what it held has come
     private static final long LOOK = 100_000; // us between looks for silence
-    private static final long FIRST_PAUSE = 20_000; // us before another try where one failed, doubled at each
-    private static final long LONGEST_PAUSE = 320_000;
-    private static final long APART = 50_000; // us from one try to the next at least: a log may hang up each time
     private final Loop loop;
     private final Roster roster;
     private final Consumer<Roster.Change> changed;
+    private final Asking asking;
     private InetSocketAddress address;
     private Follower follower;
     private long seq;
-    private long pause;
 
-    ChangeLog(Loop loop, InetSocketAddress address, Roster roster, long seq, Consumer<Roster.Change> changed) {
+    ChangeLog(Loop loop, InetSocketAddress address, Roster roster, long seq, long seed, Consumer<Roster.Change> changed) {
         this.loop = loop;
         this.address = address;
         this.roster = roster;
         this.seq = seq;
         this.changed = changed;
+        asking = new Asking(seed);
     }
 
     /** The last event seen. */
@@ -63,7 +60,7 @@
             return;
         }
         address = to;
-        pause = 0;
+        asking.answered();
         Follower old = follower;
         connect();
         if (old != null) {
@@ -73,11 +70,12 @@
 
     private void connect() {
         follower = null;
+        asking.asked(loop.clock().now());
         try {
             follower = new Follower();
         } catch (IOException e) {
             LOG.warn("change log: {}", e.toString());
-            loop.deadlines().add(loop.clock().now() + LONGEST_PAUSE, this::connectAgain, 0);
+            loop.deadlines().add(asking.next(loop.clock().now()), this::connectAgain, 0);
         }
     }
 
@@ -89,7 +87,7 @@
 
     /** A log that falls silent without closing would leave this front end with an old list for good. */
     private void watch(long now, long ref) {
-        if (follower != null && now - follower.heardAt > (follower.events.hasBegun() ? SILENT : UNBEGUN)) {
+        if (follower != null && asking.isSilent(now, follower.heardAt, follower.events.hasBegun())) {
             LOG.info("change log: silent");
             follower.connection.close();
         }
@@ -113,8 +111,7 @@
     private final class Follower implements Connection.Handler {
         final Connection connection;
         final EventStream events = new EventStream(this::event);
-        final long askedAt = loop.clock().now();
-        long heardAt = askedAt;
+        long heardAt = loop.clock().now();
 
         Follower() throws IOException {
             connection = Connection.urgentTo(loop, address, this, BOUND, 4096);
@@ -139,21 +136,20 @@
             heardAt = loop.clock().now();
             try {
                 events.take(c.in());
-                pause = events.hasBegun() ? 0 : pause;
+                if (events.hasBegun()) {
+                    asking.answered();
+                }
             } catch (BadInput e) {
                 LOG.warn("change log: {}", e.getMessage());
                 c.close();
             }
         }
 
-        /** At once where it had been heard; else after a pause, as it may not be there. */
         @Override
         public void closed(Connection c) {
             if (follower == this) {
                 follower = null;
-                long next = Math.max(loop.clock().now() + pause, askedAt + APART);
-                loop.deadlines().add(next, ChangeLog.this::connectAgain, 0);
-                pause = Math.min(LONGEST_PAUSE, Math.max(FIRST_PAUSE, pause * 2));
+                loop.deadlines().add(asking.next(loop.clock().now()), ChangeLog.this::connectAgain, 0);
             }
         }
     }
--- a/src/main/java/calicostream/platform/Node.java
+++ b/src/main/java/calicostream/platform/Node.java
@@ -103,7 +103,7 @@
         gateway.start(engines, known.engines());
         started = true;
         early.forEach(Runnable::run);
-        log = new ChangeLog(loop, config.changelog(), roster, known.seq(), change -> {
+        log = new ChangeLog(loop, config.changelog(), roster, known.seq(), config.seed(), change -> {
             change.addresses().forEach(engines::locate);
             gateway.roster(change.kind(), change.engines());
         });
--- a/src/main/java/calicostream/platform/NodeConfig.java
+++ b/src/main/java/calicostream/platform/NodeConfig.java
@@ -13,9 +13,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 
-/** What the platform tells a front end in its configuration file. */
+/** What the platform tells a front end in its configuration file; {@code seed} differs between front ends and starts. */
 public record NodeConfig(String name, InetSocketAddress listen, InetSocketAddress admin, InetSocketAddress changelog,
-        int sockets, JsonObject known, SettingsParser settings) {
+        int sockets, long seed, JsonObject known, SettingsParser settings) {
     private static final int FEWEST_SOCKETS = 64;
 
     public static NodeConfig read(Path path) {
@@ -31,8 +31,10 @@
             JsonObject root = Json.parse(text).asObject();
             JsonValue limits = root.get("limits");
             int sockets = limits == null ? 1024 : limits.asObject().getInt("sockets", 1024);
-            return new NodeConfig(root.getString("name", "front"), address(root, "listen"), admin(root),
-                    address(root, "changelog"), Math.max(FEWEST_SOCKETS, sockets), member(root, "known"),
+            String name = root.getString("name", "front");
+            return new NodeConfig(name, address(root, "listen"), admin(root),
+                    address(root, "changelog"), Math.max(FEWEST_SOCKETS, sockets),
+                    Roster.id(name + root.getString("seed", "")), member(root, "known"),
                     SettingsParser.ofJson(member(root, "settings")));
         } catch (ParseException e) {
             throw new SettingsException("bad configuration: not JSON: " + e.getMessage());
--- a/src/measure/java/calicostream/mass/EngineModel.java
+++ b/src/measure/java/calicostream/mass/EngineModel.java
@@ -122,6 +122,17 @@
         plan();
     }
 
+    /** All that runs ends without an answer. */
+    void die() {
+        advance();
+        state = EngineState.GONE;
+        List<Run> lost = List.copyOf(running);
+        running.clear();
+        coldSent.clear();
+        plan();
+        lost.forEach(r -> r.ended.accept(false));
+    }
+
     private double rate() {
         double share = Math.min(1, cores / (double) Math.max(1, threads()));
         return share * (cold() ? shape.rules().coldShare() : 1);
--- a/src/measure/java/calicostream/mass/MassRuns.java
+++ b/src/measure/java/calicostream/mass/MassRuns.java
@@ -44,6 +44,29 @@
         return storm(fleet, 0, MOST_REPLACED);
     }
 
+    /** Six in ten engines of the vast fleet are replaced within 7 s, while the list's source goes away for 3 s. */
+    static List<EngineModel> vastJoin(Fleet fleet) {
+        List<EngineModel> old = fleet.engines();
+        List<EngineModel> cold = new ArrayList<>();
+        int replaced = old.size() * 6 / 10;
+        for (int i = 0; i < replaced; i++) {
+            EngineModel e = old.get(i);
+            fleet.time.after(i * 7 * S / replaced, () -> cold.add(fleet.add(fleet.time.now())));
+            fleet.time.after(S + i * 7 * S / replaced, () -> fleet.drain(e));
+        }
+        fleet.time.after(2 * S, () -> fleet.list.leave(3 * S));
+        fleet.run(24 * S);
+        return cold;
+    }
+
+    /** A zone's engines die at once, which the list tells after 4 s, and are back cold after 5 s. */
+    static List<EngineModel> vastZone(Fleet fleet) {
+        List<EngineModel> lost = fleet.engines().stream().filter(e -> e.zone == 1).toList();
+        lost.forEach(e -> fleet.lose(e, 4 * S, 5 * S));
+        fleet.run(24 * S);
+        return lost;
+    }
+
     /** Runs them for so long past their first seconds, in which all connections are new; those are not looked at. */
     static void settled(long us, Fleet... fleets) {
         for (Fleet each : fleets) {
@@ -92,6 +115,28 @@
         out.add(String.format(Locale.ROOT, "crossed=%.3f", calm.perQuery(g -> g.crossed)));
         out.add(String.format(Locale.ROOT, "served=%.3f", calm.perQuery(g -> g.served)));
         out.add("violations=" + violations);
+        out.addAll(vastFigures(seed));
+        return out;
+    }
+
+    private static List<String> vastFigures(long seed) {
+        Fleet join = Fleet.ofModules(Fleet.Shape.vast(), seed);
+        Fleet zone = Fleet.ofModules(Fleet.Shape.vast(), seed);
+        join.run(10 * S);
+        zone.run(10 * S);
+        List<EngineModel> joined = vastJoin(join);
+        List<EngineModel> back = vastZone(zone);
+        int violations = 0;
+        for (Fleet each : List.of(join, zone)) {
+            violations += each.violations().values().stream().mapToInt(Integer::intValue).sum();
+        }
+        List<String> out = new ArrayList<>();
+        out.add("vast_violations=" + violations);
+        out.add(String.format(Locale.ROOT, "vast_cold_peak_ratio=%.2f", Math.max(peak(joined), peak(back))));
+        out.add(String.format(Locale.ROOT, "vast_cold_use_ratio=%.2f", Math.min(use(join, joined), use(zone, back))));
+        out.add(String.format(Locale.ROOT, "vast_list_calls_ratio=%.2f", join.list.busiestSecond()));
+        out.add(String.format(Locale.ROOT, "vast_handshakes_per_query=%.3f", join.perQuery(g -> g.handshakes)));
+        out.add(String.format(Locale.ROOT, "vast_served=%.3f", Math.min(join.perQuery(g -> g.served), zone.perQuery(g -> g.served))));
         return out;
     }
 
--- a/src/test/java/calicostream/mass/MassTest.java
+++ b/src/test/java/calicostream/mass/MassTest.java
@@ -75,4 +75,23 @@
         assertTrue(refused < 0.05 * asked, refused + " of " + asked + " turned away");
         assertEquals(Map.of(), fleet.violations());
     }
+
+    /** Few front ends before many engines: turns at cold engines that waste half of the allowance leave them idle beside full ones. */
+    @Test
+    void aVastFleetUsesItsColdEnginesAndKeepsTheRules() {
+        for (long seed = SEED; seed < SEED + 3; seed++) {
+            Fleet join = Fleet.ofModules(Fleet.Shape.vast(), seed);
+            Fleet zone = Fleet.ofModules(Fleet.Shape.vast(), seed);
+            join.run(10 * S);
+            zone.run(10 * S);
+            List<EngineModel> cold = MassRuns.vastJoin(join);
+            List<EngineModel> back = MassRuns.vastZone(zone);
+            String run = "seed " + seed + ": ";
+            assertEquals(Map.of(), join.violations(), run);
+            assertEquals(Map.of(), zone.violations(), run);
+            assertTrue(MassRuns.peak(cold) <= 1 && MassRuns.peak(back) <= 1, run + MassRuns.peak(cold) + ", " + MassRuns.peak(back));
+            assertTrue(MassRuns.use(join, cold) > 0.5, run + MassRuns.use(join, cold));
+            assertTrue(MassRuns.use(zone, back) > 0.5, run + MassRuns.use(zone, back));
+        }
+    }
 }
