Held queries are late by present run times; a bad list event forgets nothing

Logic.expire took what can still be in time from freshRun, the run of a query on an idle engine, so held ones kept their full worth until too late. It now takes what runs of the class take, where that is more, as Logic.judge does. Roster.change had cleared the starts of all engines before an event of the whole list turned out unreadable; they are put back.

--- a/src/main/java/calicostream/Logic.java
+++ b/src/main/java/calicostream/Logic.java
@@ -876,7 +876,7 @@
     /** A held query that can no longer make its aim gives way; past it, it is turned away. */
     private void expire(long now) {
         for (Job job : new ArrayList<>(held)) {
-            if (now + freshRun(job) > job.due && !job.late) {
+            if (now + Math.max(freshRun(job), job.learned.run) > job.due && !job.late) {
                 held.remove(job);
                 job.late = true;
                 job.value *= job.spec.lateWorth();
--- a/src/main/java/calicostream/platform/Roster.java
+++ b/src/main/java/calicostream/platform/Roster.java
@@ -57,11 +57,15 @@
         }
     }
 
+    /** An event that can't be read changes nothing of what is known: its stream is asked for anew. */
     public Change parse(String event) throws BadInput {
+        Map<Long, Start> before = Map.copyOf(starts);
         try {
             return change(Json.parse(event).asObject());
-        } catch (RuntimeException e) { // ParseException, or a member that is missing or of another kind
-            throw new BadInput("an event of the change log can't be read: " + e);
+        } catch (BadInput | RuntimeException e) { // RuntimeException: no JSON, or a member missing or of another kind
+            starts.clear();
+            starts.putAll(before);
+            throw e instanceof BadInput known ? known : new BadInput("an event of the change log can't be read: " + e);
         }
     }
 
--- a/src/test/java/calicostream/BehaviourTest.java
+++ b/src/test/java/calicostream/BehaviourTest.java
@@ -129,6 +129,26 @@
         }
     }
 
+    /** Served late it is worth little: what can still be in time goes first, by what runs of its class take now. */
+    @Test
+    void heldQueryWhoseClassRunsTooLongForItsAimGivesWay() {
+        Recorder r = Recorder.with(1, LOOK, look(Effect.REPEATABLE));
+        for (int i = 1; i <= 3; i++) { // Jammed: runs of 3 s, where the aim is 2.2 s and the work 0.1 s.
+            r.ask(i, 0, 0, 0, i, 100 * MS);
+            r.pass(3 * S);
+            r.end(r.lastOf(i), Outcome.OK, 100, 50);
+        }
+        for (int i = 101; i <= 115; i++) { // All that 8 cores have room for.
+            r.ask(i, 1, 0, 0, i, 200 * MS);
+        }
+        r.ask(200, 0, 0, 0, 200, 100 * MS);
+        r.ask(201, 1, 0, 0, 201, 200 * MS);
+        r.pass(60 * MS);
+        assertTrue(r.last(115), "no room");
+        r.end(r.lastOf(101), Outcome.OK, 200, 50);
+        assertTrue(r.last(201), "the one that can still be in time");
+    }
+
     @Test
     void loadedGroupGainsTheEngineThatReportsLeast() {
         Recorder r = Recorder.with(3, LOOK);
