--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 	mvn -q -DskipTests package dependency:copy-dependencies -DincludeScope=test -DoutputDirectory=target/test-lib
 	timeout 55 java --add-opens=java.base/java.nio=ALL-UNNAMED -cp 'target/classes:target/test-classes:target/test-lib/*' calicostream.measure.FlightMeasure
 
-# A hundred front ends and eighty engines in virtual time, and a new front end's first answer; the last line holds the figures.
+# A hundred front ends and eighty engines, fourteen and sixty, in virtual time, and a new front end's first answer; the last line holds the figures.
 measure-mass:
 	mvn -q -DskipTests package dependency:copy-dependencies -DincludeScope=test -DoutputDirectory=target/test-lib
 	timeout 55 java -cp 'target/classes:target/test-classes:target/test-lib/*' calicostream.measure.MassMeasure
--- a/src/measure/java/calicostream/measure/MassMeasure.java
+++ b/src/measure/java/calicostream/measure/MassMeasure.java
@@ -33,7 +33,8 @@
         }
         Arrays.sort(taken);
         System.out.println("first answers after " + Arrays.toString(taken) + " ms");
-        figures.add(figures.size() - 1, "first_answer_ms=" + taken[STARTS / 2]);
+        int violations = (int) figures.stream().takeWhile(each -> !each.startsWith("violations=")).count();
+        figures.add(violations, "first_answer_ms=" + taken[STARTS / 2]);
         System.out.println("mass " + String.join(" ", figures));
     }
 
