Keys, estimates and retry marks reach the module on sockets, and its probes the engines

Change: the four marks are read and checked, one of the wrong type or range is answered with -32602; STAT goes out on an open connection where there is one, ends once by FIT, UNFIT, its time-out or its connection's end, and its report is told. A report's value that can't be is passed over. Keys rest after a start, as what was here before may have left one running, and a key at rest is forgotten in the tick, not kept for good when its last attempt was still out.

--- a/src/main/java/calicostream/Logic.java
+++ b/src/main/java/calicostream/Logic.java
@@ -193,7 +193,7 @@
     private double ownThreads, smoothThreads, smoothQueries, fleetCores, usual, heaviest;
     private double slowdown = 1.3, meanWorth, meanCost;
     private int rosterChanges, benched, ownQueries, processes = 1, place;
-    private long reports, lastTick, lastQuery, forgetAt, awakeAt = LONG_AGO, askRosterAt = Long.MAX_VALUE;
+    private long reports, lastTick, lastQuery, forgetAt, awakeAt = LONG_AGO, keysRest, askRosterAt = Long.MAX_VALUE;
 
     public Logic(Settings settings, Actions actions) {
         this.settings = settings;
@@ -207,6 +207,7 @@
     @Override
     public void start(long now) {
         lastTick = now;
+        keysRest = now + settings.rules().keyRestUs(); // What was here before may have left one running.
         if (settings.rosterOnRequest()) {
             actions.subscribeRoster();
         }
@@ -462,7 +463,7 @@
 
     private boolean mayStart(long now, Job job) {
         Key key = job.key;
-        boolean inTurn = key == null || key.line.peek() == job && key.unsettled == 0 && now >= key.restUntil;
+        boolean inTurn = key == null || key.line.peek() == job && key.unsettled == 0 && now >= Math.max(keysRest, key.restUntil);
         return job.attempts == 0 ? inTurn : ration(now);
     }
 
@@ -835,9 +836,6 @@
         if (ending && job.key != null) {
             job.key.line.remove(job);
             job.key.unsettled += job.at == null ? 0 : 1;
-            if (job.key.line.isEmpty() && job.key.unsettled == 0 && job.key.restUntil <= lastTick) {
-                keys.remove(job.query.key(), job.key);
-            }
         }
     }
 
@@ -1033,6 +1031,7 @@
         if (now >= forgetAt) { // Clients may name any number of groups.
             forgetAt = now + GROUP_IDLE;
             groups.values().removeIf(g -> g.loads.isEmpty() && now - g.usedAt > GROUP_IDLE);
+            keys.values().removeIf(k -> k.line.isEmpty() && k.unsettled == 0 && k.restUntil <= now);
         }
     }
 }
--- a/src/main/java/calicostream/QueryRouter.java
+++ b/src/main/java/calicostream/QueryRouter.java
@@ -146,6 +146,11 @@
                 double memoryMb, int tableGroup, boolean clientRetry) {
             this(id, queryClass, tenant, key, timeLeftUs, costUs, memoryMb, tableGroup, clientRetry, 0);
         }
+
+        /** The same query under another id. */
+        public Query as(long other) {
+            return new Query(other, queryClass, tenant, key, timeLeftUs, costUs, memoryMb, tableGroup, clientRetry, pinned);
+        }
     }
 
     /** {@code amount} is the share done, or the megabytes missing. */
--- a/src/main/java/calicostream/core/Engines.java
+++ b/src/main/java/calicostream/core/Engines.java
@@ -20,6 +20,11 @@
     /** Gives the attempt up; nothing more need be told of it. */
     void stop(Gateway.Attempt attempt);
 
+    /** Asks an engine how it fares, which ends in one {@link Gateway#probed}, later; false: it can't be asked. */
+    default boolean probe(long engine) {
+        return false;
+    }
+
     /** A new priority for an attempt that is out. */
     void priority(Gateway.Attempt attempt);
 
--- a/src/main/java/calicostream/core/Gateway.java
+++ b/src/main/java/calicostream/core/Gateway.java
@@ -158,13 +158,18 @@
     /** The same with work that the text does not say, and the one engine that may run it, or 0. */
     public long accept(Front front, long tag, String id, int queryClass, int tableGroup, long budgetUs, byte[] body,
             Object work, long pinned) {
+        return accept(front, tag, id, new QueryRouter.Query(0, queryClass, 0, 0, budgetUs, 0, 0, tableGroup, false, pinned),
+                body, work);
+    }
+
+    /** The same with all that the client says of it; its id as a query is given here. */
+    public long accept(Front front, long tag, String id, QueryRouter.Query asked, byte[] body, Object work) {
         long now = clock.now();
-        Request request = new Request(front, tag, id, queryClass, settings.classes().get(queryClass), body, work,
-                pinned, now, now + budgetUs);
+        Request request = new Request(front, tag, id, asked.queryClass(), settings.classes().get(asked.queryClass()), body,
+                work, asked.pinned(), now, now + asked.timeLeftUs());
         request.handle = requests.add(request);
         deadlines.add(request.deadline, requestDue, request.handle);
-        tell(r -> r.query(now, new QueryRouter.Query(request.handle, queryClass, 0, 0, budgetUs, 0, 0, tableGroup,
-                false, pinned)));
+        tell(r -> r.query(now, asked.as(request.handle)));
         return request.handle;
     }
 
@@ -320,6 +325,15 @@
         }
     }
 
+    /** A probe ended; the report is null where none came. */
+    public void probed(long engine, QueryRouter.Outcome outcome, QueryRouter.Report report) {
+        if (inModule) { // It came of what the module asked for just now.
+            deadlines.add(clock.now(), (now, id) -> probed(id, outcome, report), engine);
+        } else {
+            tell(r -> r.probed(clock.now(), engine, outcome, report));
+        }
+    }
+
     /** The last byte of an attempt has been written to its engine, whatever has become of it since. */
     public void written(Attempt attempt) {
         figures.tried();
@@ -453,7 +467,11 @@
 
     @Override
     public void probe(long engine) {
-        LOG.warn("the module asked for a probe, which this deployment has not");
+        QueryRouter.Engine listed = roster.get(engine);
+        boolean ready = listed != null && usable(listed).state() == QueryRouter.EngineState.READY;
+        if (!ready || !engines.probe(engine)) { // Told later: the module must not be re-entered.
+            deadlines.add(clock.now(), (now, id) -> probed(id, QueryRouter.Outcome.MOOT, null), engine);
+        }
     }
 
     @Override
--- a/src/main/java/calicostream/platform/Fields.java
+++ b/src/main/java/calicostream/platform/Fields.java
@@ -8,6 +8,8 @@
 
 /** The field lists of engines' answers: {@code name=value,name=value}, or {@code -} for none. */
 final class Fields {
+    private static final double MOST = 1e6; // queries, or times full: no engine tells more
+
     private Fields() { }
 
     static Map<String, String> parse(String text) throws BadInput {
@@ -25,7 +27,7 @@
         return out;
     }
 
-    /** A load report, {@code name:value;name:value}; null where there is none. */
+    /** A load report, {@code name:value;name:value}; null where there is none. A value that can't be is passed over. */
     static Report report(String text) {
         if (text == null) {
             return null;
@@ -34,7 +36,7 @@
         for (String pair : text.split(";")) {
             int at = pair.indexOf(':');
             double value = number(at < 0 ? null : pair.substring(at + 1));
-            out = Double.isNaN(value) ? out : out.with(pair.substring(0, at), value);
+            out = value >= 0 && value <= MOST ? out.with(pair.substring(0, at), value) : out;
         }
         return out;
     }
--- a/src/main/java/calicostream/platform/JsonRpc.java
+++ b/src/main/java/calicostream/platform/JsonRpc.java
@@ -2,6 +2,7 @@
 package calicostream.platform;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
 
 /**
  * One JSON-RPC line: a reader of JSON that keeps the few members the platform's protocol has, so that the
@@ -26,11 +27,19 @@
         }
     }
 
-    String version, method, requestId, content, paramsId;
+    private static final Set<String> MARKS = Set.of("/params/o", "/params/h", "/params/ram", "/params/r");
+    private static final long FNV_START = 0xcbf29ce484222325L; // FNV-1a, 64 bits
+    private static final long FNV_PRIME = 0x100000001b3L;
+    private static final int LONGEST_KEY = 64;
+    private static final double MOST = 1e12; // of an estimate: beyond any work or memory there is
+
+    String version, method, requestId, content, paramsId, order;
     double id = Double.NaN;
     double wait = Double.NaN;
     double paramsNumber = Double.NaN;
+    double work, memory, retry;
     boolean isObject, hasParams;
+    private boolean mistyped;
     private final byte[] text;
     private int at;
 
@@ -74,6 +83,7 @@
         if (depth > DEEPEST) {
             throw new NotJson();
         }
+        mistyped |= c != '"' && c != '-' && (c < '0' || c > '9') && MARKS.contains(path);
         if (c == '{') {
             hasParams |= path.equals("/params");
             object(path, depth);
@@ -125,7 +135,8 @@
             case "/params/i": requestId = value; break;
             case "/params/content": content = value; break;
             case "/params/id": paramsId = value; break;
-            default: break;
+            case "/params/o": order = value; break;
+            default: mistyped |= MARKS.contains(path); break;
         }
     }
 
@@ -134,8 +145,27 @@
             case "/id": id = value; break;
             case "/params/d": wait = value; break;
             case "/params/id": paramsNumber = value; break;
-            default: break;
+            case "/params/h": work = value; break;
+            case "/params/ram": memory = value; break;
+            case "/params/r": retry = value; break;
+            default: mistyped |= MARKS.contains(path); break;
+        }
+    }
+
+    /** Whether the marks that a request may carry, key, estimates and retry, are of their type and range. */
+    boolean hasUsableMarks() {
+        boolean named = order == null || !order.isEmpty() && order.length() <= LONGEST_KEY;
+        return !mistyped && named && work >= 0 && work <= MOST && memory >= 0 && memory <= MOST
+                && (retry == 0 || retry == 1);
+    }
+
+    /** The key as a number, 0 where there is none: two keys that fall together would only wait for each other. */
+    long key() {
+        long hash = FNV_START;
+        for (int i = 0; order != null && i < order.length(); i++) {
+            hash = (hash ^ order.charAt(i)) * FNV_PRIME;
         }
+        return order == null ? 0 : Math.max(1, hash >>> 1);
     }
 
     private void word(String word) throws NotJson {
--- a/src/main/java/calicostream/platform/JsonRpcFront.java
+++ b/src/main/java/calicostream/platform/JsonRpcFront.java
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 package calicostream.platform;
 
+import calicostream.QueryRouter;
 import calicostream.core.Front;
 import calicostream.core.Gateway;
 import calicostream.core.Slots;
@@ -343,7 +344,7 @@
         private void request(JsonRpc message, long id) {
             byte[] body = body(message.content);
             boolean usable = message.requestId != null && message.requestId.matches("[0-9a-f]{16}")
-                    && message.wait > 0 && message.wait <= longestWaitMs && body != null;
+                    && message.wait > 0 && message.wait <= longestWaitMs && body != null && message.hasUsableMarks();
             if (open.containsKey(id) || id <= lastId && lastId - id > 4 * MOST_OPEN) {
                 // Under its number the answer would be taken for that of the request which is open.
                 write(JsonRpc.error("null", JsonRpc.INVALID_REQUEST, "the id was used before"));
@@ -365,8 +366,9 @@
             open.put(id, tag);
             long left = Math.min((long) (message.wait * 1000), Math.max(1, lastMoment - loop.clock().now()));
             int group = Math.max(0, Statement.tableGroup(body));
-            p.handle = gateway.accept(JsonRpcFront.this, tag, message.requestId, classNames.indexOf(message.method),
-                    group, left, body);
+            QueryRouter.Query asked = new QueryRouter.Query(0, classNames.indexOf(message.method), 0, message.key(), left,
+                    message.work * 1000, message.memory, group, message.retry == 1);
+            p.handle = gateway.accept(JsonRpcFront.this, tag, message.requestId, asked, body, null);
         }
 
         private byte[] body(String content) {
--- a/src/main/java/calicostream/platform/RespEngines.java
+++ b/src/main/java/calicostream/platform/RespEngines.java
@@ -15,6 +15,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -66,6 +67,24 @@
         }
     }
 
+    /** A question how an engine fares, and the connection that carries it. */
+    private final class Probe {
+        final long engine;
+        final String tag = "probe" + ++probesMade;
+        boolean over;
+
+        Probe(long engine) {
+            this.engine = engine;
+        }
+
+        void end(Outcome outcome, Report report) {
+            if (!over) {
+                over = true;
+                gateway.probed(engine, outcome, report);
+            }
+        }
+    }
+
     /** An attempt in a connection's ring, and the count of bytes at which it has gone out whole. */
     private record GoingOut(long end, Gateway.Attempt attempt) { }
 
@@ -78,6 +97,7 @@
     private int mostLinks;
     private int links;
     private long linksMade;
+    private long probesMade;
     private Gateway gateway;
 
     /** At most so many connections to all engines together. */
@@ -148,6 +168,29 @@
         }
     }
 
+    /** By a connection that is open and heard from; one is opened only where none is. */
+    @Override
+    public boolean probe(long id) {
+        Engine e = engines.get(id);
+        long now = loop.clock().now();
+        Link link = e == null ? null : e.links.stream()
+                .filter(l -> !l.connection.isClosed() && !l.connection.isFinishing() && !l.doubtful && !l.silent(now))
+                .min(Comparator.comparing((Link l) -> !l.connection.isConnected()).thenComparingInt(l -> l.calls.size()))
+                .orElse(null);
+        if (e == null || link == null && links >= mostLinks) {
+            return false;
+        }
+        try {
+            Probe probe = new Probe(id);
+            (link == null ? new Link(e) : link).ask(probe);
+            loop.deadlines().add(now + wiring.dialTimeoutUs(), (at, ref) -> probe.end(Outcome.TIMEOUT, null), 0);
+            return true;
+        } catch (IOException x) {
+            LOG.warn("no connection to {}: {}", e.address, x.toString());
+            return false;
+        }
+    }
+
     @Override
     public void priority(Gateway.Attempt attempt) {
         if (attempt.link instanceof Call call && !call.link.unsent.contains(call)) {
@@ -239,6 +282,7 @@
         final long number = ++linksMade;
         final Map<String, Call> calls = new HashMap<>();
         final List<Call> unsent = new ArrayList<>();
+        final Map<String, Probe> probes = new HashMap<>();
         final Set<String> stale = new HashSet<>();
         final List<Link> inDoubt = new ArrayList<>(); // broken ones whose engine may have died with them
         final ArrayDeque<GoingOut> goingOut = new ArrayDeque<>();
@@ -275,6 +319,14 @@
             }
         }
 
+        void ask(Probe probe) {
+            probes.values().removeIf(each -> each.over);
+            probes.put(probe.tag, probe);
+            if (connection.isConnected()) {
+                tell("STAT", probe.tag);
+            }
+        }
+
         private void write(Call call) {
             Gateway.Attempt a = call.attempt;
             Gateway.Attempt before = a.request.before();
@@ -379,6 +431,7 @@
             List<Call> waiting = List.copyOf(unsent);
             unsent.clear();
             waiting.forEach(this::write);
+            probes.keySet().forEach(tag -> tell("STAT", tag));
             inDoubt.forEach(link -> link.endAll(Outcome.SPOILT));
             inDoubt.clear();
             rested();
@@ -430,6 +483,11 @@
                 throw new BadInput("an answer of " + answer.length + " parts");
             }
             String id = new String(answer[0], StandardCharsets.ISO_8859_1);
+            Probe probe = probes.remove(id);
+            if (probe != null) {
+                probed(probe, answer);
+                return;
+            }
             Call call = calls.get(id);
             if (call == null) { // Late, a second copy, or nobody's: good as it may be, it is of no use.
                 return;
@@ -449,6 +507,16 @@
             }
         }
 
+        /** Who is unfit says so by its own word, and its report may still tell why. */
+        private void probed(Probe probe, byte[][] answer) throws BadInput {
+            String word = new String(answer[1], StandardCharsets.ISO_8859_1);
+            if (!word.equals("FIT") && !word.equals("UNFIT")) {
+                throw new BadInput("an answer to a probe of an unknown kind");
+            }
+            Map<String, String> fields = Fields.parse(new String(answer[2], StandardCharsets.ISO_8859_1));
+            probe.end(word.equals("FIT") ? Outcome.OK : Outcome.ERROR, Fields.report(fields.get("stats")));
+        }
+
         /** The first page. The rest is fetched before anything goes out: a result is passed on whole or not. */
         private void done(Call call, int pages, byte[] first) throws BadInput {
             if (call.pages != null) { // A second copy, while the other pages are on their way.
@@ -539,6 +607,7 @@
             LOG.debug("connection {} to {} closed under {}", number, engine.address, calls.keySet());
             engine.links.remove(this);
             links--;
+            List.copyOf(probes.values()).forEach(probe -> probe.end(heardAt > 0 ? Outcome.SPOILT : Outcome.CONNECT_FAILED, null));
             List<Call> never = List.copyOf(unsent);
             unsent.clear();
             for (Call call : never) {
