--- /dev/null
+++ b/src/test/java/calicostream/platform/ProbesTest.java
@@ -0,0 +1,130 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import calicostream.QueryRouter.Engine;
+import calicostream.QueryRouter.EngineState;
+import calicostream.QueryRouter.RosterKind;
+import calicostream.SettingsParser;
+import calicostream.core.Clock;
+import calicostream.core.Deadlines;
+import calicostream.core.Gateway;
+import calicostream.core.Watcher;
+import calicostream.net.Loop;
+import calicostream.wire.Program;
+import calicostream.wire.RespStand;
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.FutureTask;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What becomes of the module's questions how an engine fares, against an engine that answers as a test says. */
+class ProbesTest {
+    private static final String SETTINGS = "lanes.count=1\nlanes.0.name=look\nlanes.0.effect=repeatable\n"
+            + "lanes.0.aim_us=800000\nlanes.0.deadline_us=4000000\nfamily_info.kind_cores=12\nceilings.may_probe=true\n"
+            + "ceilings.dial_timeout_us=250000\nstats.how=on_probe\nstats.columns=inflight,queue,x0\n";
+    private static final long ID = 1;
+    private final SettingsParser settings = SettingsParser.ofLines(SETTINGS);
+    private RespStand stand;
+    private Loop loop;
+    private RespEngines side;
+    private Gateway gateway;
+
+    @BeforeEach
+    void start() throws Exception {
+        stand = new RespStand();
+        loop = new Loop(new Clock(), new Deadlines());
+        side = new RespEngines(loop, settings.classNames(), settings.wiring(), 16);
+        gateway = new Gateway(new Clock(), loop.deadlines(), settings.settings(), Watcher.NONE);
+        Thread thread = new Thread(() -> {
+            try {
+                loop.run();
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+        on(() -> {
+            side.locate(ID, stand.address());
+            gateway.start(side, List.of(new Engine(ID, 0, 0, 0, 0, EngineState.READY)));
+            return null;
+        });
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        loop.post(loop::stop);
+        stand.close();
+    }
+
+    private <T> T on(Callable<T> work) throws Exception {
+        FutureTask<T> task = new FutureTask<>(work);
+        loop.post(task);
+        return task.get(Program.PATIENCE_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private String probe() throws Exception {
+        on(() -> {
+            gateway.probe(ID);
+            return null;
+        });
+        return stand.command();
+    }
+
+    /** An unfit engine, a late, second or uncalled-for answer and none at all: the connection stays, and so does the engine. */
+    @Test
+    void oneConnectionCarriesThemAll() throws Exception {
+        assertEquals("STAT|probe1", probe());
+        stand.answer("probe1|FIT|stats=inflight:3;queue:0;x0:0.4|");
+        stand.answer("probe1|FIT|stats=inflight:3|");
+        stand.answer("probe7|FIT|-|");
+        assertEquals("STAT|probe2", probe());
+        stand.answer("probe2|UNFIT|-|");
+        assertEquals("STAT|probe3", probe());
+        assertEquals("STAT|probe4", probe(), "the one before was never answered");
+        stand.answer("probe4|FIT|stats=inflight:-3;queue:1e99;x0:no;what:1;|");
+        stand.answer("probe3|FIT|-|");
+        assertEquals("STAT|probe5", probe());
+        stand.raw("*4\r\n$6\r\nprobe5\r\n$3\r\nFIT\r\n$1\r\n-\r\n$0\r\n\r\n");
+        assertEquals("STAT|probe6", probe());
+        assertEquals(0, on(gateway::avoided), "nothing of this is a reason to leave it out");
+    }
+
+    @Test
+    void anAnswerOfAnUnknownKindCostsTheConnection() throws Exception {
+        assertEquals("STAT|probe1", probe());
+        stand.answer("probe1|FINE|-|");
+        assertTrue(stand.ended());
+        assertEquals("STAT|probe2", probe(), "on another one");
+    }
+
+    @Test
+    void whoCanNotBeReachedIsLeftOut() throws Exception {
+        stand.die();
+        on(() -> {
+            gateway.probe(ID);
+            return null;
+        });
+        for (long end = System.nanoTime() + Program.PATIENCE_MS * 1_000_000; on(gateway::avoided) == 0;) {
+            assertTrue(System.nanoTime() < end, "the engine is still used");
+        }
+    }
+
+    @Test
+    void anEngineThatDrainsIsNotAsked() throws Exception {
+        on(() -> {
+            gateway.roster(RosterKind.CHANGES, List.of(new Engine(ID, 0, 0, 0, 0, EngineState.DRAINING)));
+            gateway.probe(ID);
+            gateway.roster(RosterKind.CHANGES, List.of(new Engine(ID, 0, 0, 0, 0, EngineState.READY)));
+            return null;
+        });
+        assertEquals("STAT|probe1", probe(), "the first that goes out");
+    }
+}
--- a/src/test/java/calicostream/wire/Exchange.java
+++ b/src/test/java/calicostream/wire/Exchange.java
@@ -37,6 +37,7 @@
     private final Map<String, ChangeLogStand> logs = Map.of("log", new ChangeLogStand(), "log2", new ChangeLogStand());
     private final Path folder;
     private int sockets = 1024;
+    private final Map<String, String> settings = new HashMap<>();
     private final List<String> known = new ArrayList<>();
     private Program program;
     private Program successor;
@@ -96,7 +97,10 @@
 
     private void program(String word) throws IOException {
         try {
-            if (word.startsWith("sockets ")) {
+            if (word.startsWith("setting ")) {
+                String[] parts = word.substring(8).split(" -> ");
+                settings.put(parts[0], parts[1]);
+            } else if (word.startsWith("sockets ")) {
                 sockets = Integer.parseInt(word.substring(8));
             } else if (word.startsWith("starts unheard")) {
                 know(word.substring(14));
@@ -144,7 +148,7 @@
     }
 
     private Program started(int listen) throws IOException {
-        Program started = new Program(folder, listen, logs.get("log").port(), known, sockets);
+        Program started = new Program(folder, listen, logs.get("log").port(), known, sockets, settings);
         assertEquals("1", logs.get("log").follow());
         return started;
     }
--- a/src/test/java/calicostream/wire/Program.java
+++ b/src/test/java/calicostream/wire/Program.java
@@ -12,6 +12,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /** The program as a process of its own, with a configuration written for a test; it listens on ports it picks. */
@@ -58,6 +59,21 @@
         log = process.inputReader(StandardCharsets.UTF_8);
     }
 
+    /** The same with a part of the settings written otherwise. */
+    public Program(Path folder, int port, int changelogPort, List<String> endpoints, int sockets, Map<String, String> otherwise)
+            throws IOException {
+        Path config = configure(folder, port, changelogPort, endpoints, sockets);
+        String text = Files.readString(config);
+        for (Map.Entry<String, String> part : otherwise.entrySet()) {
+            if (!text.contains(part.getKey())) {
+                throw new IOException("no such settings: " + part.getKey());
+            }
+            text = text.replace(part.getKey(), part.getValue());
+        }
+        process = launch(folder, Files.writeString(config, text));
+        log = process.inputReader(StandardCharsets.UTF_8);
+    }
+
     /** Writes the configuration file, also in place of an earlier one. */
     public static Path configure(Path folder, int port, int changelogPort, List<String> endpoints, int sockets)
             throws IOException {
