Two processes of one front end keep a key's requests in the order taken

Need: the order rule holds for a front end, and during an upgrade two processes are one; each kept the order of its own requests only. Change: a key is a lock on a byte of the file that the processes share, and who waits for it holds a second one, so that the process that runs the key lets nothing of its own pass; the kernel frees a dead process's locks. What waits is taken back or turned away at its time, as it never ran.

--- a/src/main/java/calicostream/QueryRouter.java
+++ b/src/main/java/calicostream/QueryRouter.java
@@ -147,6 +147,11 @@
             this(id, queryClass, tenant, key, timeLeftUs, costUs, memoryMb, tableGroup, clientRetry, 0);
         }
 
+        /** The same query with so much time left. */
+        public Query leaving(long us) {
+            return new Query(id, queryClass, tenant, key, us, costUs, memoryMb, tableGroup, clientRetry, pinned);
+        }
+
         /** The same query under another id. */
         public Query as(long other) {
             return new Query(other, queryClass, tenant, key, timeLeftUs, costUs, memoryMb, tableGroup, clientRetry, pinned);
--- a/src/main/java/calicostream/core/Gateway.java
+++ b/src/main/java/calicostream/core/Gateway.java
@@ -45,7 +45,8 @@
         public final long deadline;
         long handle;
         int attempts;
-        boolean answered, mayHaveRun, streaming;
+        boolean answered, mayHaveRun, streaming, told, left;
+        QueryRouter.Query asked;
         Attempt out;
         private Attempt before;
         int priority = 1;
@@ -74,6 +75,11 @@
             return pinned != 0 || spec.effect() == QueryRouter.Effect.ONCE;
         }
 
+        /** Whether it keeps its turn among those of its key. */
+        boolean isInLine() {
+            return spec.inOrder() && asked.key() != 0;
+        }
+
         public int priority() {
             return priority;
         }
@@ -128,6 +134,7 @@
     private final Deadlines.Target attemptDue = this::attemptDue;
     private final Deadlines.Target attemptCalledOff = this::attemptCalledOff;
     private final Deadlines.Target requestDue = this::requestDue;
+    private final KeyLines<Request> keyLines;
     private Engines engines;
     private boolean inModule, settling;
     private long faults;
@@ -139,6 +146,12 @@
         this.watcher = watcher;
         router = new Logic(settings, this);
         figures = new Figures(settings.classes().size());
+        keyLines = new KeyLines<>(clock, deadlines, settings.rules().keyRestUs(), this::arrive);
+    }
+
+    /** How this front end's processes share out keys; before the start. */
+    public void turns(Turns turns) {
+        keyLines.attach(turns);
     }
 
     /** Starts the module with the engines last known. */
@@ -169,10 +182,29 @@
                 work, asked.pinned(), now, now + asked.timeLeftUs());
         request.handle = requests.add(request);
         deadlines.add(request.deadline, requestDue, request.handle);
-        tell(r -> r.query(now, asked.as(request.handle)));
+        request.asked = asked.as(request.handle);
+        if (request.isInLine()) {
+            keyLines.add(asked.key(), request);
+        } else {
+            arrive(request);
+        }
         return request.handle;
     }
 
+    /** The module hears of it. It may have waited until another process of this front end was done with its key. */
+    private void arrive(Request request) {
+        long now = clock.now();
+        request.told = true;
+        tell(r -> r.query(now, request.asked.leaving(request.deadline - now)));
+    }
+
+    private void left(Request request) {
+        if (request.isInLine() && request.out == null && !request.left) {
+            request.left = true;
+            keyLines.left(request.asked.key(), request);
+        }
+    }
+
     /** The client has left or takes no answer any more: nothing is owed, and what is out is called off. */
     public void abandon(long handle) {
         Request request = requests.get(handle);
@@ -493,6 +525,8 @@
         requests.remove(request.handle);
         if (request.out != null) {
             giveUp(request.out, QueryRouter.Outcome.CANCELLED);
+        } else {
+            left(request);
         }
     }
 
@@ -523,7 +557,11 @@
         Request request = requests.get(handle);
         if (request != null && !request.streaming) {
             tell(r -> {
-                fail(handle);
+                if (request.told) {
+                    fail(handle);
+                } else { // It has waited for its key all the time.
+                    refuse(handle, 0);
+                }
                 r.abandoned(now, handle);
             });
         }
@@ -551,6 +589,9 @@
             request.out = null;
             request.before = attempt;
         }
+        if (request.answered) { // It ended before its attempt did.
+            left(request);
+        }
         request.mayHaveRun |= end.outcome.mayHaveRun;
         boolean serves = end.outcome == QueryRouter.Outcome.OK && !request.answered;
         long now = clock.now();
--- /dev/null
+++ b/src/main/java/calicostream/core/Turns.java
@@ -0,0 +1,28 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.core;
+
+/**
+ * Which process of this front end runs the requests of a key, where two serve side by side. One thread calls it, and no
+ * call waits.
+ */
+public interface Turns {
+    /** One process alone: every turn is its own. */
+    Turns ALONE = new Turns() {
+        @Override
+        public boolean take(long key) {
+            return true;
+        }
+
+        @Override
+        public void release(long key) { }
+    };
+
+    /**
+     * Whether a further request of the key may run here now. False: another process has the key, or waits for it, and it is
+     * to be asked again soon; who asks first is next.
+     */
+    boolean take(long key);
+
+    /** Nothing of the key is left here, neither running nor resting. */
+    void release(long key);
+}
--- a/src/main/java/calicostream/handover/Handover.java
+++ b/src/main/java/calicostream/handover/Handover.java
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 package calicostream.handover;
 
+import calicostream.core.Turns;
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonObject;
 import com.eclipsesource.json.JsonValue;
@@ -71,6 +72,11 @@
         write();
     }
 
+    /** How the processes of this front end share out keys, from {@link #join} on. */
+    public Turns turns() {
+        return file == null ? Turns.ALONE : new KeyLocks(file);
+    }
+
     private Stream<Peer> living() {
         return Arrays.stream(peers).filter(Objects::nonNull);
     }
--- a/src/main/java/calicostream/handover/SlotFile.java
+++ b/src/main/java/calicostream/handover/SlotFile.java
@@ -108,8 +108,13 @@
     }
 
     private FileLock lock(int slot) throws IOException {
+        return lockByte((long) slot * HEAD);
+    }
+
+    /** A lock on one byte, which need not be there; null where another process holds it. */
+    FileLock lockByte(long at) throws IOException {
         try {
-            return file.tryLock((long) slot * HEAD, 1, false);
+            return file.tryLock(at, 1, false);
         } catch (OverlappingFileLockException e) { // Held within this very process.
             return null;
         }
--- a/src/main/java/calicostream/platform/Node.java
+++ b/src/main/java/calicostream/platform/Node.java
@@ -99,6 +99,7 @@
             }
         });
         handover.join();
+        gateway.turns(handover.turns());
         share();
         gateway.start(engines, known.engines());
         started = true;
