A composition beside Main puts the parts together; platform knows none that may be off

Need: Node built Flight SQL's and syslog's parts itself, so that platform knew both, and a cluster would have been the third. Both in turn took ConfigFile, Statement and addresses from platform.

daemon.Composition makes the parts, each that may be off behind a look for its file, and Node gets them as Parts: the engine side by the port Engines (with most), further fronts by the new port Service, watchers by Watcher. What several wires need stands below them: sql.Statement, config.ConfigFile, net.Address.

--- a/src/main/java/calicostream/Main.java
+++ b/src/main/java/calicostream/Main.java
@@ -2,10 +2,9 @@
 package calicostream;
 
 import calicostream.adapter.Adapter;
-import calicostream.flight.FlightConfig;
+import calicostream.daemon.Composition;
 import calicostream.platform.Node;
 import calicostream.platform.NodeConfig;
-import calicostream.syslog.SyslogConfig;
 import java.io.IOException;
 import java.nio.file.Path;
 
@@ -48,8 +47,7 @@
                 throw new SettingsException("bad configuration: NODE_CONFIG is not set");
             }
             Path deploy = Path.of(System.getProperty("calicostream.deploy", "deploy"));
-            Node node = new Node(NodeConfig.read(Path.of(path)), FlightConfig.read(deploy.resolve("flight.json")),
-                    SyslogConfig.read(deploy.resolve("syslog.json")), shared());
+            Node node = Composition.node(NodeConfig.read(Path.of(path)), deploy, shared());
             hangup.tell(() -> node.reload(Path.of(path)));
             node.run();
         } catch (SettingsException e) {
--- a/src/main/java/calicostream/platform/ConfigFile.java
+++ b/src/main/java/calicostream/config/ConfigFile.java
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-package calicostream.platform;
+package calicostream.config;
 
 import calicostream.SettingsException;
 import calicostream.net.BadInput;
@@ -19,6 +19,11 @@
         T read(JsonObject root) throws BadInput;
     }
 
+    /** Whether there is such a file and it turns its part on. */
+    public static boolean isOn(Path path) {
+        return enabled(path, root -> true) != null;
+    }
+
     /** Null where there is no such file or it leaves its part off. */
     public static <T> T enabled(Path path, Reader<T> reader) {
         if (!Files.exists(path)) {
--- a/src/main/java/calicostream/core/Engines.java
+++ b/src/main/java/calicostream/core/Engines.java
@@ -25,6 +25,9 @@
         return false;
     }
 
+    /** At most so many connections to all engines together from now on, where a bound on them is kept. */
+    default void most(int connections) { }
+
     /** A new priority for an attempt that is out. */
     void priority(Gateway.Attempt attempt);
 
--- /dev/null
+++ b/src/main/java/calicostream/daemon/Composition.java
@@ -0,0 +1,78 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.daemon;
+
+import calicostream.QueryRouter.Settings;
+import calicostream.SettingsParser;
+import calicostream.config.ConfigFile;
+import calicostream.core.Clock;
+import calicostream.core.Deadlines;
+import calicostream.core.Engines;
+import calicostream.core.Gateway;
+import calicostream.core.Service;
+import calicostream.core.Watcher;
+import calicostream.flight.FlightConfig;
+import calicostream.net.Loop;
+import calicostream.platform.Descriptors;
+import calicostream.platform.Node;
+import calicostream.platform.NodeConfig;
+import calicostream.platform.Parts;
+import calicostream.platform.RespEngines;
+import calicostream.syslog.Syslog;
+import calicostream.syslog.SyslogConfig;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Function;
+
+/**
+ * Who puts the parts of a front end together. A part that is off costs a look for its file and nothing more: its classes
+ * are named in here only behind that look, so the virtual machine never loads them.
+ */
+public final class Composition {
+    private Composition() { }
+
+    /**
+     * A front end as its configuration and the files of the {@code deploy} folder say. {@code shared} is the folder that
+     * this front end's processes have in common, or null.
+     */
+    public static Node node(NodeConfig config, Path deploy, Path shared) throws IOException {
+        FlightConfig flightConfig = flight(deploy.resolve("flight.json"));
+        SyslogConfig syslogConfig = syslog(deploy.resolve("syslog.json"));
+        Descriptors descriptors = Descriptors.of(config.sockets()); // Counts what is open: before anything else is.
+        Loop loop = new Loop(new Clock(), new Deadlines());
+        SettingsParser settings = config.settings();
+        FlightPart flight = flightConfig == null ? null : new FlightPart(loop, settings, flightConfig);
+
+        Engines engines = flight == null ? null : flight.engines();
+        boolean wide = engines != null;
+        engines = wide ? engines : new RespEngines(loop, settings.classNames(), settings.wiring(), descriptors.engines());
+        Settings decided = wide ? settings.settings().withoutNotes() : settings.settings();
+        Gateway gateway = new Gateway(loop.clock(), loop.deadlines(), decided,
+                Watchers.of(watchers(loop, config, flight, syslogConfig)));
+
+        List<Service> services = flight == null ? List.of() : List.of(flight.front(gateway));
+        Function<Object, byte[]> text = flight == null ? rows -> (byte[]) rows : flight.text();
+        return new Node(config, new Parts(descriptors, loop, gateway, engines, text, services), shared);
+    }
+
+    private static FlightConfig flight(Path file) {
+        return ConfigFile.isOn(file) ? FlightConfig.read(file) : null;
+    }
+
+    private static SyslogConfig syslog(Path file) {
+        return ConfigFile.isOn(file) ? SyslogConfig.read(file) : null;
+    }
+
+    private static List<Watcher> watchers(Loop loop, NodeConfig config, FlightPart flight, SyslogConfig syslog)
+            throws IOException {
+        List<Watcher> out = new ArrayList<>();
+        if (flight != null) {
+            out.add(flight.watcher());
+        }
+        if (syslog != null) {
+            out.add(new Syslog(loop, syslog, config.name(), config.settings().classNames()));
+        }
+        return out;
+    }
+}
--- a/src/main/java/calicostream/flight/FlightConfig.java
+++ b/src/main/java/calicostream/flight/FlightConfig.java
@@ -1,9 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 package calicostream.flight;
 
+import calicostream.config.ConfigFile;
+import calicostream.net.Address;
 import calicostream.net.BadInput;
-import calicostream.platform.ConfigFile;
-import calicostream.platform.Roster;
 import com.eclipsesource.json.JsonObject;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
@@ -80,7 +80,7 @@
             long most = Long.MAX_VALUE / 4;
             String queryClass = text("query_class", "lookup");
             String users = text("users", "");
-            FlightConfig out = new FlightConfig(Roster.address(text("listen", "127.0.0.1:32010")),
+            FlightConfig out = new FlightConfig(Address.of(text("listen", "127.0.0.1:32010")),
                     choice("engines", "flight", "flight", "platform"), queryClass, text("update_class", "stat-load"),
                     text("metadata_class", queryClass), number("hold_bytes", MEGABYTE, 0, 64 * MEGABYTE),
                     number("max_held_bytes", 4 * MEGABYTE, 1024, 256 * MEGABYTE),
--- a/src/main/java/calicostream/flight/front/Desk.java
+++ b/src/main/java/calicostream/flight/front/Desk.java
@@ -14,7 +14,7 @@
 import calicostream.flight.wire.FlightWire;
 import calicostream.flight.wire.Work;
 import calicostream.net.Loop;
-import calicostream.platform.Statement;
+import calicostream.sql.Statement;
 import io.grpc.Metadata;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
--- a/src/main/java/calicostream/flight/front/FlightFront.java
+++ b/src/main/java/calicostream/flight/front/FlightFront.java
@@ -4,6 +4,7 @@
 import calicostream.SettingsException;
 import calicostream.SettingsParser;
 import calicostream.core.Gateway;
+import calicostream.core.Service;
 import calicostream.flight.FlightConfig;
 import calicostream.flight.engine.FlightEngines;
 import calicostream.flight.state.Admission;
@@ -39,7 +40,7 @@
  * The Flight SQL service: every call is let in or turned away, its caller found out, and handed to the part that serves it.
  * All of that is the loop's; gRPC's threads only bring messages and take answers, and none of them ever waits.
  */
-public final class FlightFront implements FlightEngines.Listener {
+public final class FlightFront implements FlightEngines.Listener, Service {
     private static final Logger LOG = LoggerFactory.getLogger(FlightFront.class);
     private static final long LOOK = 20_000;
     private static final long TIDY = 500_000;
@@ -106,30 +107,37 @@
     }
 
     // ---- Life -------------------------------------------------------------------------------------------
+    @Override
+    public String name() {
+        return "Flight SQL";
+    }
+
+    @Override
     public void start() throws IOException {
         server = NettyServerBuilder.forAddress(config.listen()).directExecutor()
                 .bossEventLoopGroup(threads).workerEventLoopGroup(threads).channelType(NioServerSocketChannel.class)
                 .maxInboundMessageSize(config.maxMessageBytes()).flowControlWindow(config.windowBytes())
                 // At an upgrade another process of this front end listens here, too.
                 .withOption(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true)
-                .addService(ServerInterceptors.intercept(FlightWire.service(new Service().bindService(),
+                .addService(ServerInterceptors.intercept(FlightWire.service(new Calls().bindService(),
                         ServerCalls.asyncServerStreamingCall(this::doGet), ServerCalls.asyncBidiStreamingCall(this::doPut)),
                         Caller.interceptor()))
                 .build().start();
     }
 
+    @Override
     public int port() {
         return server.getPort();
     }
 
-    /** Takes no new calls; those in hand go on. */
+    @Override
     public void stopListening() {
         if (server != null) {
             server.shutdown();
         }
     }
 
-    /** Waits until the answers given have gone out; for the end of the process, off the loop. */
+    @Override
     public void awaitEnd() throws InterruptedException {
         if (server != null) {
             server.awaitTermination(1, TimeUnit.SECONDS);
@@ -270,7 +278,7 @@
     }
 
     /** The calls that are one message each way; they are all of the generated service but DoGet and DoPut. */
-    private final class Service extends FlightServiceGrpc.FlightServiceImplBase {
+    private final class Calls extends FlightServiceGrpc.FlightServiceImplBase {
         @Override
         public void getFlightInfo(Flight.FlightDescriptor request, StreamObserver<Flight.FlightInfo> out) {
             take(out, call -> queries.info(call, request));
--- a/src/main/java/calicostream/platform/Descriptors.java
+++ b/src/main/java/calicostream/platform/Descriptors.java
@@ -5,7 +5,7 @@
 import java.io.File;
 
 /** How the descriptors of the process are shared out, so that neither side can take them all. */
-record Descriptors(int clients, int engines, int own) {
+public record Descriptors(int clients, int engines, int own) {
     private static final int UNTOLD = 64; // the process's own, where the system does not list them
     private static final int LATER = 6; // selector, hand-over, listeners: what comes after the count
     private static final int SPARE = 12 + AdminFront.MOST; // log and successor, files read anew, sockets being closed
@@ -15,7 +15,7 @@
      * goodbye; engines get what the process itself leaves of the rest. To be called before anything else of the process
      * is open: the listing takes a descriptor for its moment that nobody else knows of.
      */
-    static Descriptors of(int limit) {
+    public static Descriptors of(int limit) {
         String[] open = new File("/proc/self/fd").list();
         return of(limit, open == null ? UNTOLD : open.length + LATER);
     }
--- a/src/main/java/calicostream/platform/JsonRpcFront.java
+++ b/src/main/java/calicostream/platform/JsonRpcFront.java
@@ -9,6 +9,7 @@
 import calicostream.net.Listener;
 import calicostream.net.Loop;
 import calicostream.net.Ring;
+import calicostream.sql.Statement;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.SocketChannel;
--- a/src/main/java/calicostream/platform/Node.java
+++ b/src/main/java/calicostream/platform/Node.java
@@ -2,26 +2,16 @@
 package calicostream.platform;
 
 import calicostream.QueryRouter;
-import calicostream.QueryRouter.Settings;
 import calicostream.SettingsException;
 import calicostream.SettingsParser;
 import calicostream.admin.AdminFront;
 import calicostream.admin.FiguresJson;
 import calicostream.admin.Operator;
-import calicostream.core.Clock;
-import calicostream.core.Deadlines;
 import calicostream.core.Engines;
 import calicostream.core.Gateway;
-import calicostream.core.Watcher;
-import calicostream.flight.FlightConfig;
-import calicostream.flight.ArrowRows;
-import calicostream.flight.engine.FlightEngines;
-import calicostream.flight.front.FlightFront;
-import calicostream.flight.state.Admission;
+import calicostream.core.Service;
 import calicostream.handover.Handover;
 import calicostream.net.Loop;
-import calicostream.syslog.Syslog;
-import calicostream.syslog.SyslogConfig;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
@@ -49,7 +39,7 @@
     private final Loop loop;
     private final JsonRpcFront front;
     private final Gateway gateway;
-    private final FlightFront flight;
+    private final List<Service> services;
     private final NodeConfig config;
     private final ChangeLog log;
     private final Descriptors descriptors;
@@ -61,33 +51,17 @@
     private long lastOpenAt;
     private final CountDownLatch done = new CountDownLatch(1);
 
-    /**
-     * Flight SQL and syslog are off, and their classes not loaded, where their configuration is null. {@code shared} is the folder that this
-     * front end's processes have in common, or null.
-     */
-    public Node(NodeConfig config, FlightConfig flightConfig, SyslogConfig syslogConfig, Path shared)
-            throws IOException {
+    /** {@code shared} is the folder that this front end's processes have in common, or null. */
+    public Node(NodeConfig config, Parts parts, Path shared) throws IOException {
         this.config = config;
+        descriptors = parts.descriptors();
+        loop = parts.loop();
+        engines = parts.engines();
+        gateway = parts.gateway();
+        services = parts.services();
         SettingsParser settings = config.settings();
-        Clock clock = new Clock();
-        descriptors = Descriptors.of(config.sockets());
-        loop = new Loop(clock, new Deadlines());
-        boolean flightEngines = flightConfig != null && flightConfig.flightEngines();
-        Admission admission = flightConfig == null ? null : new Admission(flightConfig.calls(),
-                flightConfig.callsPerClient(), flightConfig.bytesInFlight(), flightConfig.mostStreams());
-        engines = flightEngines ? new FlightEngines(loop, settings, flightConfig, admission)
-                : new RespEngines(loop, settings.classNames(), settings.wiring(), descriptors.engines());
-        Watcher records = syslogConfig == null ? Watcher.NONE
-                : new Syslog(loop, syslogConfig, config.name(), settings.classNames());
-        // Not by instanceof, which would load Flight's classes where they are off.
-        Watcher watcher = flightEngines ? watching((FlightEngines) engines, records) : records;
-        Settings decided = flightEngines ? settings.settings().withoutNotes() : settings.settings();
-        gateway = new Gateway(clock, loop.deadlines(), decided, watcher);
-        flight = flightConfig == null ? null : new FlightFront(loop, gateway, flightConfig, settings, admission,
-                engines instanceof FlightEngines side ? side : null);
-        front = new JsonRpcFront(loop, gateway, settings.classNames(), longestDeadline(decided),
-                flight == null ? rows -> (byte[]) rows : ArrowRows::text);
-        Roster roster = new Roster(clock, settings.zoneNames(), settings.kindNames());
+        front = new JsonRpcFront(loop, gateway, settings.classNames(), longestDeadline(), parts.text());
+        Roster roster = new Roster(loop.clock(), settings.zoneNames(), settings.kindNames());
         Roster.Change known = roster.known(config.known());
         known.addresses().forEach(engines::locate);
         List<Runnable> early = new ArrayList<>();
@@ -112,24 +86,8 @@
         admin = config.admin() == null ? null : new AdminFront(loop, this);
     }
 
-    /** The engine side hears the list, too: transactions end with the process that holds them. */
-    private static Watcher watching(FlightEngines side, Watcher records) {
-        return new Watcher() {
-            @Override
-            public void answered(String id, int queryClass, Ending ending, int attempts, long elapsedUs) {
-                records.answered(id, queryClass, ending, attempts, elapsedUs);
-            }
-
-            @Override
-            public void engine(QueryRouter.Engine engine) {
-                side.listed(engine);
-                records.engine(engine);
-            }
-        };
-    }
-
-    private static long longestDeadline(Settings settings) {
-        return settings.classes().stream().mapToLong(QueryRouter.QueryClass::deadlineUs).max().orElse(0);
+    private long longestDeadline() {
+        return config.settings().settings().classes().stream().mapToLong(QueryRouter.QueryClass::deadlineUs).max().orElse(0);
     }
 
     /**
@@ -215,9 +173,9 @@
         gateway.learned(handover.before());
         front.listen(config.listen());
         LOG.info("listens on port {}", front.port());
-        if (flight != null) {
-            flight.start();
-            LOG.info("Flight SQL listens on port {}", flight.port());
+        for (Service each : services) {
+            each.start();
+            LOG.info("{} listens on port {}", each.name(), each.port());
         }
         listening = true;
         handover.listens(true);
@@ -244,8 +202,8 @@
         });
         try {
             done.await(LONGEST_END_S, TimeUnit.SECONDS);
-            if (flight != null) {
-                flight.awaitEnd();
+            for (Service each : services) {
+                each.awaitEnd();
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -307,9 +265,7 @@
         gateway.sharedBy(handover.processes(), handover.place());
         Descriptors part = Descriptors.of(config.sockets() / handover.processes(), descriptors.own());
         front.most(part.clients());
-        if (engines instanceof RespEngines resp) {
-            resp.most(part.engines());
-        }
+        engines.most(part.engines());
     }
 
     @Override
@@ -319,14 +275,12 @@
 
     /** The other process takes all new clients from now on; those that are here are served, and let go at rest. */
     private void retire(long now) {
-        long last = now + Math.min(LONGEST_STAY, longestDeadline(config.settings().settings())) + SERVE_ON - MARGIN;
+        long last = now + Math.min(LONGEST_STAY, longestDeadline()) + SERVE_ON - MARGIN;
         LOG.info("another process of this front end listens: no more clients here");
         try {
             front.retire(last);
             handover.listens(false);
-            if (flight != null) {
-                flight.stopListening();
-            }
+            services.forEach(Service::stopListening);
         } catch (IOException e) {
             LOG.warn("listener: {}", e.toString());
         }
@@ -347,9 +301,7 @@
     private void finish(long now, long ref) {
         try {
             front.stopListening();
-            if (flight != null) {
-                flight.stopListening();
-            }
+            services.forEach(Service::stopListening);
         } catch (IOException e) {
             LOG.warn("listener: {}", e.toString());
         }
--- a/src/main/java/calicostream/platform/NodeConfig.java
+++ b/src/main/java/calicostream/platform/NodeConfig.java
@@ -3,6 +3,7 @@
 
 import calicostream.SettingsException;
 import calicostream.SettingsParser;
+import calicostream.net.Address;
 import calicostream.net.BadInput;
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonObject;
@@ -62,7 +63,7 @@
 
     private static InetSocketAddress address(JsonObject root, String name) {
         try {
-            return Roster.address(root.getString(name, ""));
+            return Address.of(root.getString(name, ""));
         } catch (BadInput e) {
             throw new SettingsException("bad configuration: " + name + ": " + e.getMessage());
         }
--- a/src/main/java/calicostream/platform/RespEngines.java
+++ b/src/main/java/calicostream/platform/RespEngines.java
@@ -25,7 +25,7 @@
 import org.slf4j.LoggerFactory;
 
 /** The engine side of the platform: RESP over a few reused connections to each engine. */
-final class RespEngines implements Engines {
+public final class RespEngines implements Engines {
     private static final Logger LOG = LoggerFactory.getLogger(RespEngines.class);
     private static final int BOUND = 128 * 1024;
     private static final int MOST_CONNECTIONS = 32; // to one engine: more than the attempts that it gets
@@ -101,7 +101,7 @@
     private Gateway gateway;
 
     /** At most so many connections to all engines together. */
-    RespEngines(Loop loop, List<String> classNames, SettingsParser.Wiring wiring, int mostLinks) {
+    public RespEngines(Loop loop, List<String> classNames, SettingsParser.Wiring wiring, int mostLinks) {
         this.loop = loop;
         this.mostLinks = mostLinks;
         this.classNames = classNames;
@@ -111,7 +111,8 @@
         reportIdleUs = wiring.idleUs() * 7 / 10;
     }
 
-    void most(int connections) {
+    @Override
+    public void most(int connections) {
         mostLinks = connections;
     }
 
--- a/src/main/java/calicostream/platform/Roster.java
+++ b/src/main/java/calicostream/platform/Roster.java
@@ -6,6 +6,7 @@
 import calicostream.QueryRouter.RosterKind;
 import calicostream.SettingsException;
 import calicostream.core.Clock;
+import calicostream.net.Address;
 import calicostream.net.BadInput;
 import com.eclipsesource.json.Json;
 import com.eclipsesource.json.JsonObject;
@@ -90,7 +91,7 @@
             }
             String address = entry.getString("address", "");
             if (!address.isEmpty()) {
-                addresses.put(id, address(address));
+                addresses.put(id, Address.of(address));
             } else if (state == EngineState.READY) {
                 throw new BadInput("an engine without an address");
             }
@@ -129,19 +130,4 @@
             default: throw new BadInput("an unknown state of an engine");
         }
     }
-
-    /** A numeric address and port; names are not looked up, as there is no DNS. */
-    public static InetSocketAddress address(String text) throws BadInput {
-        int colon = text.lastIndexOf(':');
-        String host = colon < 1 ? "" : text.substring(0, colon);
-        try {
-            int port = Integer.parseInt(text.substring(colon + 1));
-            if (host.matches("[0-9.]+|\\[[0-9a-fA-F:.]+]")) {
-                return new InetSocketAddress(host, port);
-            }
-        } catch (IllegalArgumentException e) {
-            // Told below, with the text itself.
-        }
-        throw new BadInput("'" + text + "' is not an address and port");
-    }
 }
--- a/src/main/java/calicostream/platform/WarmUp.java
+++ b/src/main/java/calicostream/platform/WarmUp.java
@@ -13,6 +13,7 @@
 import calicostream.core.Watcher;
 import calicostream.net.BadInput;
 import calicostream.net.Ring;
+import calicostream.sql.Statement;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
--- a/src/main/java/calicostream/platform/Statement.java
+++ b/src/main/java/calicostream/sql/Statement.java
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-package calicostream.platform;
+package calicostream.sql;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/src/main/java/calicostream/syslog/SyslogConfig.java
+++ b/src/main/java/calicostream/syslog/SyslogConfig.java
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 package calicostream.syslog;
 
-import calicostream.platform.ConfigFile;
-import calicostream.platform.Roster;
+import calicostream.config.ConfigFile;
+import calicostream.net.Address;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 
@@ -13,7 +13,7 @@
 
     /** Null where there is no such file or it leaves the records off. */
     public static SyslogConfig read(Path path) {
-        return ConfigFile.enabled(path, root -> new SyslogConfig(Roster.address(root.getString("collector", "")),
+        return ConfigFile.enabled(path, root -> new SyslogConfig(Address.of(root.getString("collector", "")),
                 root.getString("transport", "udp").equals("tcp"), root.getInt("facility", LOCAL0),
                 root.getInt("enterprise", EXAMPLE)));
     }
--- a/src/test/java/calicostream/platform/StatementTest.java
+++ b/src/test/java/calicostream/sql/StatementTest.java
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-package calicostream.platform;
+package calicostream.sql;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTimeout;
