The module keeps its width; tests of keys begin after their rest at a start

Since keys rest for a while after a start, two tests of the order of one key failed: they asked at the first moment. They now begin when the rest is over. Two lines of the module were over their width of 110.

--- a/src/main/java/calicostream/Logic.java
+++ b/src/main/java/calicostream/Logic.java
@@ -193,7 +193,8 @@
     private double ownThreads, smoothThreads, smoothQueries, fleetCores, usual, heaviest;
     private double slowdown = 1.3, meanWorth, meanCost;
     private int rosterChanges, benched, ownQueries, processes = 1, place;
-    private long reports, lastTick, lastQuery, forgetAt, awakeAt = LONG_AGO, keysRest, askRosterAt = Long.MAX_VALUE;
+    private long reports, lastTick, lastQuery, forgetAt, keysRest, awakeAt = LONG_AGO;
+    private long askRosterAt = Long.MAX_VALUE;
 
     public Logic(Settings settings, Actions actions) {
         this.settings = settings;
@@ -463,7 +464,8 @@
 
     private boolean mayStart(long now, Job job) {
         Key key = job.key;
-        boolean inTurn = key == null || key.line.peek() == job && key.unsettled == 0 && now >= Math.max(keysRest, key.restUntil);
+        boolean inTurn = key == null
+                || key.line.peek() == job && key.unsettled == 0 && now >= Math.max(keysRest, key.restUntil);
         return job.attempts == 0 ? inTurn : ration(now);
     }
 
--- a/src/test/java/calicostream/RulesTest.java
+++ b/src/test/java/calicostream/RulesTest.java
@@ -167,6 +167,7 @@
     void queriesOfOneKeyRunSinglyInOrderAndRestAfterDoubt() {
         QueryClass ordered = queryClass(Effect.ONCE, Scope.ALL, true, 1, false);
         Recorder r = Recorder.with(3, ordered);
+        r.pass(300 * MS); // Keys rest after a start.
         r.ask(1, 0, 0, 7, 1, 100 * MS);
         r.ask(2, 0, 0, 7, 1, 100 * MS);
         r.ask(3, 0, 0, 8, 1, 100 * MS);
@@ -185,6 +186,7 @@
     void keyWaitsForTheAttemptOfAnEndedQuery() {
         QueryClass ordered = queryClass(Effect.ONCE, Scope.ALL, true, 1, false);
         Recorder r = Recorder.with(3, ordered);
+        r.pass(300 * MS); // Keys rest after a start.
         r.ask(1, 0, 0, 7, 1, 100 * MS);
         r.logic.abandoned(r.now, 1);
         r.ask(2, 0, 0, 7, 1, 100 * MS);
