Held queries stay while their answer would earn anything

The line at fault is in Logic.expire: it turned a query away at its aim whatever a late answer earns. A held query that can no longer make its aim already comes last by its late worth, so it takes no room from what is in time; it is now turned away only when no time is left for a run, or at its aim in a class that earns nothing late.

--- a/src/main/java/calicostream/Logic.java
+++ b/src/main/java/calicostream/Logic.java
@@ -87,7 +87,6 @@
         final ArrayDeque<double[]> coldSent = new ArrayDeque<>();
         final List<Job> lookers = new ArrayList<>();
         Engine entry;
-        Group exclusive;
         double cores, ownThreads, others, price;
         double strikes;
         boolean probing, benched, seen, owed;
@@ -107,7 +106,6 @@
         int orderOf = -1;
         final double[] work = new double[2];
         long usedAt;
-        boolean overloaded;
 
         Group(int number) {
             this.number = number;
@@ -500,7 +498,7 @@
         if (inside != null && rank(job, inside) < W1) {
             return inside;
         }
-        Node outside = first(from, inSet.negate().and(n -> !taken(n, g)), order);
+        Node outside = first(from, inSet.negate(), order);
         if (outside != null && rank(job, outside) < W2) {
             return outside;
         }
@@ -539,12 +537,8 @@
         return (1 + PRICE_PULL * n.price) * -Math.log(Math.max(1e-12, hash));
     }
 
-    private static boolean taken(Node n, Group g) {
-        return n.exclusive != null && n.exclusive != g && n.exclusive.overloaded;
-    }
-
     private void gainLeastLoaded(long now, Group g, List<Node> from) {
-        Node gained = first(from, n -> !taken(n, g) && !g.set.containsKey(n.id), leastLoaded(now));
+        Node gained = first(from, n -> !g.set.containsKey(n.id), leastLoaded(now));
         if (gained != null) {
             g.set.put(gained.id, now);
         }
@@ -560,10 +554,8 @@
         }
         double part = faded(g.work, now, 0) / Math.max(1, faded(work, now, 0));
         double strain = Math.max(1, load / g.set.size() / Math.max(LOAD_STEP, mean()));
-        g.overloaded = part * strain > cores / Math.max(1, fleetCores);
-        if (g.overloaded) {
+        if (part * strain > cores / Math.max(1, fleetCores)) {
             gainLeastLoaded(now, g, from);
-            g.set.keySet().forEach(id -> nodes.get(id).exclusive = g);
         }
     }
 
@@ -873,7 +865,7 @@
         }
     }
 
-    /** A held query that can no longer make its aim gives way; past it, it is turned away. */
+    /** A held query that can no longer make its aim gives way; turned away when it would earn nothing. */
     private void expire(long now) {
         for (Job job : new ArrayList<>(held)) {
             if (now + Math.max(freshRun(job), job.learned.run) > job.due && !job.late) {
@@ -882,7 +874,8 @@
                 job.value *= job.spec.lateWorth();
                 held.add(job);
             }
-            if (now + TICK >= job.due || now + job.cost / job.spec.threads() > job.deadline) {
+            boolean over = now + TICK >= (job.spec.lateWorth() > 0 ? job.deadline : job.due);
+            if (over || now + job.cost / job.spec.threads() > job.deadline) {
                 finish(now, job, true);
             }
         }
