Cold engines take heavy queries of unknown work too, by turns of each class

Of the 1,884 reports that came from 7.5 to 25 s, 22 attempts went to cold engines. At 21 s, when those count as warm, all front ends came at once: 5 to 9 threads a core on each. Warm engines were believed at 1.2 to 1.4 threads a core.

Checked: what cold engines may take is not what binds (0.72 threads a core by our own allowance); ranks, homes and the list are not at fault, and the engines' reports tell the true number (12.7 told, 12.4 out). The reports' work showed as 1,000 ms, the guess: a class counts as known after ten answers, which is 25 s at 0.4 reports a second. At fault: `heaviest` heard of known classes alone, so a turn was as long as a look-up's work and a query of unknown work, which weighs FIRST_WORK, never fitted (`coldAllowance`, `warmEnough`, `query`). And a turn lasted 0.5 s for a query that comes every 2.5 s, so most turns went by unused.

Change: each class has the share of a cold engine's allowance that it has of this front end's work, and turns of its own: one query a turn, as long as such a query is waited for (the square root of twice the window times the mean time between two, from a quarter of the window to two windows). The bound over all front ends is as before: turns that touch one window times their query stay within the share, the shares add up to the whole.

--- a/src/main/java/calicostream/Logic.java
+++ b/src/main/java/calicostream/Logic.java
@@ -134,6 +134,7 @@
 
     private static final class Learned {
         final Bias cost = new Bias(), memory = new Bias();
+        final double[] asked = new double[2];
         double usual, run, least;
         int seen, runs;
     }
@@ -186,7 +187,7 @@
             Comparator.comparingDouble((Job job) -> -job.value).thenComparingLong(job -> job.query.id()));
     private final Learned[] learned;
     private final double[] tokens;
-    private final double[] work = new double[2]; // sum and its time, as in each group
+    private final double[] work = new double[2], asked = new double[2]; // sums and their times, as in each group
     private final ArrayDeque<Long> takenAt = new ArrayDeque<>(), extraAt = new ArrayDeque<>();
     private double ownThreads, smoothThreads, smoothQueries, fleetCores, usual, heaviest;
     private double slowdown = 1.3, meanWorth, meanCost;
@@ -264,7 +265,7 @@
             n.seen = false;
         }
         if (fresh && cached && processes == 1 && cold(n, now)) { // Restarted: our part is spent.
-            n.coldSent.add(new double[] {now, Double.MAX_VALUE});
+            n.coldSent.add(new double[] {now, Double.MAX_VALUE, -1});
         }
     }
 
@@ -296,7 +297,9 @@
         meanWorth += (spec.worth() - meanWorth) * LEARN;
         meanCost += (cost - meanCost) * LEARN;
         jobs.put(q.id(), job);
-        heaviest = Math.max(heaviest, known.usual);
+        heaviest = Math.max(heaviest, weight(job));
+        faded(known.asked, now, weight(job));
+        faded(asked, now, weight(job));
         faded(group.work, now, Math.min(cost, known.usual));
         faded(work, now, Math.min(cost, known.usual));
         if (key != null) {
@@ -406,36 +409,33 @@
     }
 
     /**
-     * What this gateway may send a cold engine in the rule's window, in work: an equal part. Where that is
-     * less than one query, gateways take turns by number: each has a window's time for the heaviest usual
-     * query, so often that all turns which touch one window stay within the whole allowance.
+     * What this gateway may send a cold engine in the rule's window: an equal part of the work. Where that is less than
+     * one query, each class has the share of it that it has of the work, and gateways take turns by number: one query
+     * a turn, so often that all turns which touch one window stay within that share. Rare queries have longer turns.
      */
-    private double coldAllowance(Node n, long now) {
-        Rules r = settings.rules();
-        double whole = COLD_PART * r.coldMultiple() * r.coldShare() * n.cores * CORE_YIELD * r.coldWindowUs();
-        int gateways = Math.max(settings.gateways(), settings.index() + 1) * processes;
-        if (whole / gateways >= heaviest) {
-            return whole / gateways;
-        }
-        long turn = r.coldWindowUs() / TURNS;
-        double cycle = (r.coldWindowUs() + turn) * heaviest * gateways / Math.max(1, whole);
-        long own = settings.index() * processes + place;
-        long number = Math.floorMod(own + (n.id * HASH_SPREAD >>> 33), gateways);
-        double phase = (now - n.coldFrom + cycle * number / gateways) % cycle;
-        return phase < turn ? heaviest : 0;
-    }
-
     private boolean warmEnough(long now, Job job, Node n) {
+        Rules r = settings.rules();
+        double window = r.coldWindowUs();
+        n.coldSent.removeIf(each -> each[0] <= now - window);
         if (!cold(n, now)) {
             return true;
         }
-        n.coldSent.removeIf(each -> each[0] <= now - settings.rules().coldWindowUs());
-        double sent = n.coldSent.stream().mapToDouble(each -> each[1]).sum();
-        return sent + weight(job) <= coldAllowance(n, now);
+        double weight = weight(job);
+        int gateways = Math.max(settings.gateways(), settings.index() + 1) * processes;
+        double part = COLD_PART * r.coldMultiple() * r.coldShare() * n.cores * CORE_YIELD * window / gateways;
+        boolean apart = part < heaviest;
+        double sent = n.coldSent.stream().mapToDouble(e -> !apart || e[2] < 0 || e[2] == job.query.queryClass() ? e[1] : 0).sum();
+        double ofClass = faded(job.learned.asked, now, 0);
+        part *= apart ? ofClass / Math.max(1, faded(asked, now, 0)) : 1;
+        double turn = Math.min(2 * window, Math.max(window / TURNS, Math.sqrt(2 * window * LONG * weight / ofClass)));
+        double cycle = (window + turn) * weight / part;
+        long number = Math.floorMod(settings.index() * processes + place + (n.id * HASH_SPREAD >>> 33), gateways);
+        boolean inTurn = apart && sent <= 0 && (now - n.coldFrom + cycle * number / gateways) % cycle < turn;
+        return inTurn || sent + weight <= part;
     }
 
     private static double weight(Job job) {
-        return job.learned.usual > 0 ? job.learned.usual : Math.max(job.cost, FIRST_WORK);
+        return job.learned.usual > 0 ? job.learned.usual : Math.max(job.cost, job.learned.run * job.spec.threads());
     }
 
     /** Sessions: threads in hand, own and others', stay under what the cores do well. */
@@ -609,7 +609,7 @@
             extraAt.add(now);
         }
         if (cold(n, now)) {
-            n.coldSent.add(new double[] {now, weight(job)});
+            n.coldSent.add(new double[] {now, weight(job), job.query.queryClass()});
         }
         held.remove(job);
         n.nextTrial = now + TRIAL_GAP;
--- a/src/test/java/calicostream/RulesTest.java
+++ b/src/test/java/calicostream/RulesTest.java
@@ -262,6 +262,37 @@
         assertTrue(all > least * budget, all / S + " of " + budget / S + " core-seconds");
     }
 
+    /** Front ends that have just started know nothing of heavy queries: a cold engine takes them all the same, within the rule. */
+    @Test
+    void queriesOfUnknownWorkHaveTheirTurnsAtAColdEngine() {
+        QueryRouter.Settings s = Recorder.settings(40, LOOK, LOOK);
+        java.util.TreeMap<Long, Double> sent = new java.util.TreeMap<>();
+        int heavy = 0;
+        for (int g = 0; g < 40; g++) {
+            Recorder r = new Recorder(new QueryRouter.Settings(40, g, 0, new QueryRouter.Fees(0, 0), s.kinds(), s.classes(),
+                    s.tenants(), 1, s.limits(), s.rules(), s.engines(), s.reporting(), false, s.tickUs()));
+            r.roster(RosterKind.COMPLETE, engine(1, Recorder.START, EngineState.READY));
+            int ended = 0;
+            for (int q = 0; q < 36; q++) {
+                boolean isHeavy = q % 4 == 3;
+                r.ask(q, isHeavy ? 1 : 0, 0, 0, 1, isHeavy ? 0 : 100 * MS);
+                r.pass(250 * MS);
+                for (; ended < r.sent.size(); ended++) {
+                    boolean wasHeavy = r.sent.get(ended).query() % 4 == 3;
+                    heavy += wasHeavy ? 1 : 0;
+                    sent.merge(r.sent.get(ended).at(), wasHeavy ? 1.0 * S : 0.1 * S, Double::sum);
+                    r.end(r.sent.get(ended), Outcome.OK);
+                }
+            }
+        }
+        assertTrue(heavy > 10, heavy + " heavy queries in 9 s of 40 front ends");
+        double limit = s.rules().coldMultiple() * s.rules().coldShare() * 8 * s.rules().coldWindowUs();
+        sent.keySet().forEach(from -> {
+            double work = sent.subMap(from, from + s.rules().coldWindowUs()).values().stream().mapToDouble(d -> d).sum();
+            assertTrue(work <= limit, work / S + " of " + limit / S + " core-seconds");
+        });
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {1, 300})
     void fleetThatVanishesAndReturnsLeavesNoQueryUnanswered(int gateways) {
