More room for threads on engines where no report tells of their cores

Logic.report counts threads there, as nothing tells of cores, and Logic.room allowed 1.9 a core; of these threads 23 to 68%, by class, wait for disks and occupy none. Where cores are told, the room is bounded by how busy they are and stays as it was.

--- a/src/main/java/calicostream/Logic.java
+++ b/src/main/java/calicostream/Logic.java
@@ -28,6 +28,7 @@
     static final long SET_IDLE = 20_000_000; // us until an unused set member leaves (design page)
     static final long GROUP_IDLE = 60_000_000; // us until an unused group is forgotten: past any deadline
     static final double ROOM = 1.9; // threads per told core at most: work done falls beyond one to two
+    static final double BLIND_ROOM = 2.7; // the same where no report tells of cores: a third waits for disks
     static final long TICK = 50_000; // us between ticks: short against the aims
     static final long STANDSTILL = 400_000; // us without a tick after which silence is our own
     static final double SMOOTH = 1_000_000; // us over which loads are smoothed: a few queries' time
@@ -189,7 +190,7 @@
     private final double[] work = new double[2]; // sum and its time, as in each group
     private final ArrayDeque<Long> takenAt = new ArrayDeque<>(), extraAt = new ArrayDeque<>();
     private double ownThreads, smoothThreads, smoothQueries, fleetCores, usual, heaviest;
-    private double slowdown = 1.3, meanWorth, meanCost;
+    private double room = ROOM, slowdown = 1.3, meanWorth, meanCost;
     private int rosterChanges, benched, ownQueries, processes = 1, place;
     private long reports, lastTick, lastQuery, forgetAt, keysRest, awakeAt = LONG_AGO;
     private long askRosterAt = Long.MAX_VALUE;
@@ -442,7 +443,7 @@
     private boolean room(long now, Job job, Node n) {
         // A load stops other loads and waiting classes of its group on its engine: keep these apart.
         boolean blocked = (job.spec.load() || job.spec.waitsForLoads()) && job.group.loads.containsKey(n.id);
-        return !blocked && n.ownThreads + others(n, now, job.dither) + job.spec.threads() <= ROOM * n.cores;
+        return !blocked && n.ownThreads + others(n, now, job.dither) + job.spec.threads() <= room * n.cores;
     }
 
     /** Trust in an engine's last report, from 1 down to 0 as it ages. */
@@ -669,7 +670,7 @@
         }
         job.newsAt = now;
         if (p.notice() == Notice.WAITS_FOR_MEMORY) { // The engine is full, whatever its cores report.
-            view(now, job.at, ROOM * job.at.cores, REPORT_WEIGHT);
+            view(now, job.at, room * job.at.cores, REPORT_WEIGHT);
         }
         if (p.notice() == Notice.SHARE_DONE && !job.done && !job.cancelled && !job.streaming) {
             judge(now, job, Math.min(1, Math.max(0.005, p.amount())));
@@ -746,7 +747,7 @@
             job.unusable = job.erredAt != null && job.erredAt != at && job.erredAt.strikes + at.strikes == 0;
             job.erredAt = at;
         } else if (outcome == Outcome.FULL) {
-            view(now, at, 2 * ROOM * at.cores, 1);
+            view(now, at, 2 * room * at.cores, 1);
         } else if (outcome == Outcome.OK) {
             learn(job, at, end);
             if (job.sentAt >= at.benchedUntil) {
@@ -986,6 +987,7 @@
 
     /** Others' threads: those of the queries that are not ours, or less where the cores are not all busy. */
     private void report(long now, Node n, Report report) {
+        room = Double.isNaN(report.utilization()) ? BLIND_ROOM : ROOM;
         double each = Math.max(1, smoothThreads / Math.max(1e-9, smoothQueries));
         double counted = (report.running() - n.running.size()) * each;
         double full = Math.max(report.utilization(), report.saturation()); // Cores idle in a jam.
