--- a/src/main/java/calicostream/Logic.java
+++ b/src/main/java/calicostream/Logic.java
@@ -188,7 +188,7 @@
             Comparator.comparingDouble((Job job) -> -job.value).thenComparingLong(job -> job.query.id()));
     private final Learned[] learned;
     private final double[] tokens;
-    private final double[] work = new double[2], asked = new double[2]; // sums and their times, as in each group
+    private final double[] work = new double[2], asked = new double[2]; // sums and times, as in each group
     private final ArrayDeque<Long> takenAt = new ArrayDeque<>(), extraAt = new ArrayDeque<>();
     private double ownThreads, smoothThreads, smoothQueries, fleetCores, usual, heaviest;
     private double room = ROOM, slowdown = 1.3, meanWorth, meanCost;
@@ -410,9 +410,9 @@
     }
 
     /**
-     * What this gateway may send a cold engine in the rule's window: an equal part of the work. Where that is less than
-     * one query, each class has the share of it that it has of the work, and gateways take turns by number: one query
-     * a turn, so often that all turns which touch one window stay within that share. Rare queries have longer turns.
+     * What this gateway may send a cold engine in the rule's window: an equal part of the work. Where that is
+     * less than one query, each class has its share of the work, and gateways take turns by number: one
+     * query a turn, so often that all turns which touch a window stay within it. Rare ones have longer turns.
      */
     private boolean warmEnough(long now, Job job, Node n) {
         Rules r = settings.rules();
@@ -422,21 +422,24 @@
             return true;
         }
         double weight = weight(job);
-        int gateways = Math.max(settings.gateways(), settings.index() + 1) * processes;
-        double part = COLD_PART * r.coldMultiple() * r.coldShare() * n.cores * CORE_YIELD * window / gateways;
+        int all = Math.max(settings.gateways(), settings.index() + 1) * processes;
+        double part = COLD_PART * r.coldMultiple() * r.coldShare() * n.cores * CORE_YIELD * window / all;
         boolean apart = part < heaviest;
-        double sent = n.coldSent.stream().mapToDouble(e -> !apart || e[2] < 0 || e[2] == job.query.queryClass() ? e[1] : 0).sum();
+        double sent = n.coldSent.stream()
+                .mapToDouble(e -> !apart || e[2] < 0 || e[2] == job.query.queryClass() ? e[1] : 0).sum();
         double ofClass = faded(job.learned.asked, now, 0);
         part *= apart ? ofClass / Math.max(1, faded(asked, now, 0)) : 1;
-        double turn = Math.min(2 * window, Math.max(window / TURNS, Math.sqrt(2 * window * LONG * weight / ofClass)));
+        double rare = Math.sqrt(2 * window * LONG * weight / ofClass);
+        double turn = Math.min(2 * window, Math.max(window / TURNS, rare));
         double cycle = (window + turn) * weight / part;
-        long number = Math.floorMod(settings.index() * processes + place + (n.id * HASH_SPREAD >>> 33), gateways);
-        boolean inTurn = apart && sent <= 0 && (now - n.coldFrom + cycle * number / gateways) % cycle < turn;
+        long number = Math.floorMod(settings.index() * processes + place + (n.id * HASH_SPREAD >>> 33), all);
+        boolean inTurn = apart && sent <= 0 && (now - n.coldFrom + cycle * number / all) % cycle < turn;
         return inTurn || sent + weight <= part;
     }
 
     private static double weight(Job job) {
-        return job.learned.usual > 0 ? job.learned.usual : Math.max(job.cost, job.learned.run * job.spec.threads());
+        double run = job.learned.run * job.spec.threads();
+        return job.learned.usual > 0 ? job.learned.usual : Math.max(job.cost, run);
     }
 
     /** Sessions: threads in hand, own and others', stay under what the cores do well. */
@@ -912,8 +915,7 @@
 
     /**
      * A query whose note is overdue, or without notes its answer by far, is lost: move it, strike the engine.
-     * Meant for hangs and messages lost on the way; also catches crashes and cut links that nothing reports.
-     * Harm: a note merely late costs the work done so far.
+     * Meant for hangs, lost messages, crashes and cut links that nothing reports. A late note costs the work.
      */
     private void checkSilence(long now, Job job) {
         long notes = settings.engines().noteUs();
