Deployments drawn from the protocol's ranges, each checked in virtual time

Change: settings drawn from all that the protocol allows, played with the module and with the plainest policy, under a checker of its own.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run measure-flight measure-mass
+.PHONY: build test lint run measure-flight measure-mass measure-deployments
 
 build:
 	mvn -q -DskipTests package
@@ -23,3 +23,9 @@
 measure-mass:
 	mvn -q -DskipTests package dependency:copy-dependencies -DincludeScope=test -DoutputDirectory=target/test-lib
 	timeout 55 java -cp 'target/classes:target/test-classes:target/test-lib/*' calicostream.measure.MassMeasure
+
+# Deployments drawn from what the protocol allows, in virtual time, with a check of the rules; the last line holds the figures.
+# SEED: another seed; DRAW: the number of one draw to play alone.
+measure-deployments:
+	mvn -q -DskipTests package dependency:copy-dependencies -DincludeScope=test -DoutputDirectory=target/test-lib
+	timeout 55 java -XX:+UseSerialGC -cp 'target/classes:target/test-classes:target/test-lib/*' calicostream.measure.DeploymentsMeasure $(or $(SEED),1) $(DRAW)
--- /dev/null
+++ b/src/measure/java/calicostream/deployments/Ask.java
@@ -0,0 +1,51 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.deployments;
+
+import calicostream.QueryRouter.Query;
+import java.util.SplittableRandom;
+
+/** What a client wants, over all its tries: one is at one front end at a time. */
+final class Ask {
+    private static final double GUESS_OFF = 0.3; // deviation of the log of an engine's guess
+    final long at;
+    final int frontEnd;
+    final int lane;
+    final int tenant;
+    final long key;
+    final int group;
+    final double workUs;
+    final double memoryMb;
+    final double toldWorkUs;
+    final double toldMemoryMb;
+    final long deadline;
+    final double worth;
+    final long aimUs;
+    int tries;
+    double served;
+
+    Ask(long at, int frontEnd, int lane, int tenant, long key, int group, double workUs, double memoryMb, double toldWorkUs,
+            double toldMemoryMb, long deadline, double worth, long aimUs) {
+        this.at = at;
+        this.frontEnd = frontEnd;
+        this.lane = lane;
+        this.tenant = tenant;
+        this.key = key;
+        this.group = group;
+        this.workUs = workUs;
+        this.memoryMb = memoryMb;
+        this.toldWorkUs = toldWorkUs;
+        this.toldMemoryMb = toldMemoryMb;
+        this.deadline = deadline;
+        this.worth = worth;
+        this.aimUs = aimUs;
+    }
+
+    /** What an engine grants by itself: its own guess is off, too, and leans to the safe side. */
+    double guessedMb() {
+        return memoryMb * Math.exp(GUESS_OFF * new SplittableRandom(at + group).nextGaussian() + GUESS_OFF);
+    }
+
+    Query query(long id, long now, boolean marked) {
+        return new Query(id, lane, tenant, key, deadline - now, toldWorkUs, toldMemoryMb, group, marked && tries > 1);
+    }
+}
--- a/src/measure/java/calicostream/mass/Time.java
+++ b/src/measure/java/calicostream/mass/Time.java
@@ -4,7 +4,7 @@
 import java.util.PriorityQueue;
 
 /** Virtual time: what is due next, in the order made where due together. */
-final class Time {
+public final class Time {
     private record Due(long at, long number, Runnable work) { }
 
     private final PriorityQueue<Due> due = new PriorityQueue<>(
@@ -12,15 +12,15 @@
     private long now = 1_000_000_000_000L;
     private long made;
 
-    long now() {
+    public long now() {
         return now;
     }
 
-    void after(long us, Runnable work) {
+    public void after(long us, Runnable work) {
         due.add(new Due(now + Math.max(0, us), made++, work));
     }
 
-    void run(long until) {
+    public void run(long until) {
         while (!due.isEmpty() && due.peek().at <= until) {
             Due next = due.poll();
             now = next.at;
