--- a/src/measure/java/calicostream/deployments/Machine.java
+++ b/src/measure/java/calicostream/deployments/Machine.java
@@ -8,6 +8,7 @@
 import calicostream.mass.Time;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -249,34 +250,50 @@
     private void rates() {
         Map<Integer, Run> holders = new HashMap<>();
         running.stream().filter(run -> run.lane.load()).forEach(run -> holders.putIfAbsent(run.ask.group, run));
-        double threads = 0;
+        double[] threads = new double[WEIGHTS.length];
         double reading = 0;
-        double weights = 0;
-        boolean heeded = draw.allowed().priorities();
         for (Run run : running) {
             Run holder = holders.get(run.ask.group);
             run.blocked = holder != null && holder != run && (run.lane.load() || run.lane.waits());
             if (!run.blocked) {
-                threads += run.lane.threads();
+                threads[level(run)] += run.lane.threads();
                 reading += run.lane.threads() * run.io;
-                weights += run.lane.threads() * (heeded ? WEIGHTS[run.priority] : 1);
             }
         }
-        double crowd = threads / (cores * traits.knee());
+        double all = Arrays.stream(threads).sum();
+        double crowd = all / (cores * traits.knee());
         double done = cores * (crowd > 1 ? Math.pow(crowd, -traits.thrash() / 2) : 1);
         double seeks = reading / (2 * disks);
         double read = disks * (seeks > 1 ? Math.pow(seeks, -traits.seek()) : 1);
         double used = running.stream().mapToDouble(run -> Math.min(run.granted, run.ask.memoryMb)).sum();
-        double jam = Math.max(1, Math.max(threads / done, reading / read)) * Math.max(1, used / memoryMb);
+        double jam = Math.max(1, Math.max(all / done, reading / read)) * Math.max(1, used / memoryMb);
+        double[] parts = shared(threads, all / jam);
         double pace = speed * warmth() * (isSlow ? SLOW : 1);
         for (Run run : running) {
-            double favour = heeded && weights > 0 ? WEIGHTS[run.priority] * threads / weights : 1;
-            run.rate = run.blocked ? 0 : run.lane.threads() * pace * Math.min(1, favour / jam);
+            run.rate = run.blocked ? 0 : run.lane.threads() * pace * parts[level(run)];
         }
-        coresBusy = Math.min(1, threads / jam / cores);
+        coresBusy = Math.min(1, all / jam / cores);
         disksBusy = Math.min(1, reading / jam / disks);
     }
 
+    private int level(Run run) {
+        return draw.allowed().priorities() ? run.priority : 1;
+    }
+
+    /** The part of its full speed at which each priority's threads run, where so many threads' work is done in all. */
+    private static double[] shared(double[] threads, double done) {
+        double[] parts = new double[threads.length];
+        for (int highest = threads.length - 1; highest >= 0; highest--) { // What a higher one can't use goes to the others.
+            double weights = 0;
+            for (int i = 0; i <= highest; i++) {
+                weights += threads[i] * WEIGHTS[i];
+            }
+            parts[highest] = weights > 0 ? Math.min(1, WEIGHTS[highest] * done / weights) : 0;
+            done = Math.max(0, done - parts[highest] * threads[highest]);
+        }
+        return parts;
+    }
+
     private void plan() {
         long planned = ++version;
         admit();
