Test of an engine that can't be reached asks until it is refused

Need: a listener that closes may still take one connection, whose break says nothing of the engine; the test then waited in vain. Change: it asks again until the refusal is seen.

--- a/src/test/java/calicostream/platform/ProbesTest.java
+++ b/src/test/java/calicostream/platform/ProbesTest.java
@@ -108,12 +108,12 @@
     @Test
     void whoCanNotBeReachedIsLeftOut() throws Exception {
         stand.die();
-        on(() -> {
-            gateway.probe(ID);
-            return null;
-        });
         for (long end = System.nanoTime() + Program.PATIENCE_MS * 1_000_000; on(gateway::avoided) == 0;) {
             assertTrue(System.nanoTime() < end, "the engine is still used");
+            on(() -> { // A socket that closes may still take one connection, and break it.
+                gateway.probe(ID);
+                return null;
+            });
         }
     }
 
