--- /dev/null
+++ b/src/main/java/calicostream/durable/DurableException.java
@@ -0,0 +1,190 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.durable;
+
+import java.io.IOException;
+import java.util.List;
+
+/**
+ * Every way in which a disk fails, lies or belongs to somebody else. Each has a code that never changes, the facts as they were found,
+ * and what an operator can do; {@code docs/operate/durable.md} has a row for each code. It is an {@link IOException}, so that it passes
+ * through stores that know only that.
+ */
+public abstract sealed class DurableException extends IOException {
+
+    private static final long serialVersionUID = 1;
+
+    private final String code;
+    private final String facts;
+    private final String remedy;
+
+    private DurableException(String code, String facts, String remedy, Throwable cause) {
+        super(code + ": " + facts + "; " + remedy, cause);
+        this.code = code;
+        this.facts = facts;
+        this.remedy = remedy;
+    }
+
+    /** Stable, for alarms and pages. */
+    public String code() {
+        return code;
+    }
+
+    /** Who and what, with names and numbers. */
+    public String facts() {
+        return facts;
+    }
+
+    /** What an operator can do. */
+    public String remedy() {
+        return remedy;
+    }
+
+    /** What the log is in once a call has thrown this. */
+    Status.State state() {
+        return Status.State.FAILED;
+    }
+
+    /** The codes of all kinds, for the operators' page and its test. */
+    public static List<String> codes() {
+        return List.of("disk-full", "disk-read-only", "disk-sync-failed", "disk-slow", "disk-failed", "file-missing", "folder-in-use",
+                "folder-foreign", "format-unknown", "log-rotten", "log-hole", "snapshot-rotten", "log-failed", "log-closed");
+    }
+
+    /** No room, or no quota, for what was to be written. */
+    public static final class Full extends DurableException {
+        private static final long serialVersionUID = 1;
+
+        public Full(String facts, Throwable cause) {
+            super("disk-full", facts, "free room on this device, then reopen the log (a restart does); delete aside- files first", cause);
+        }
+
+        @Override
+        Status.State state() {
+            return Status.State.FULL;
+        }
+    }
+
+    /** The folder or the file system takes no writes. */
+    public static final class ReadOnly extends DurableException {
+        private static final long serialVersionUID = 1;
+
+        public ReadOnly(String facts, Throwable cause) {
+            super("disk-read-only", facts, "see why the system mounted it so (its log tells), check the device, mount it for writing, "
+                    + "then reopen the log", cause);
+        }
+
+        @Override
+        Status.State state() {
+            return Status.State.READ_ONLY;
+        }
+    }
+
+    /** A sync failed: what was written since the one before may be gone although it can still be read. */
+    public static final class SyncFailed extends DurableException {
+        private static final long serialVersionUID = 1;
+
+        public SyncFailed(String facts, Throwable cause) {
+            super("disk-sync-failed", facts, "check the device; reopen the log: what was not promised yet is written anew", cause);
+        }
+    }
+
+    /** A sync takes or took longer than the bound. Not thrown: it is the trouble of a {@link Status} in SLOW. */
+    public static final class Slow extends DurableException {
+        private static final long serialVersionUID = 1;
+
+        public Slow(String facts) {
+            super("disk-slow", facts, "look for what else uses the device; move the folder to another one if it stays", null);
+        }
+    }
+
+    /** Any other failure of a read or a write. */
+    public static final class Failed extends DurableException {
+        private static final long serialVersionUID = 1;
+
+        public Failed(String facts, Throwable cause) {
+            super("disk-failed", facts, "check the device and the folder's owner and rights, then reopen the log", cause);
+        }
+    }
+
+    /** A file that is needed is not there. */
+    public static final class Missing extends DurableException {
+        private static final long serialVersionUID = 1;
+
+        public Missing(String facts) {
+            super("file-missing", facts, "see who deletes files in this folder; put the file back, or start over as a learner", null);
+        }
+    }
+
+    /** Another process has the folder. */
+    public static final class InUse extends DurableException {
+        private static final long serialVersionUID = 1;
+
+        public InUse(String facts) {
+            super("folder-in-use", facts, "two processes were given one folder: end the one that is not wanted, or give it its own", null);
+        }
+    }
+
+    /** The folder is another member's, or another cluster's. */
+    public static final class Foreign extends DurableException {
+        private static final long serialVersionUID = 1;
+
+        public Foreign(String facts) {
+            super("folder-foreign", facts, "put the folders back in their places, or start this member with an empty one as a learner", null);
+        }
+    }
+
+    /** Written by a later version of the program, or no file of ours. */
+    public static final class UnknownFormat extends DurableException {
+        private static final long serialVersionUID = 1;
+
+        public UnknownFormat(String facts) {
+            super("format-unknown", facts, "start the version of the program that wrote it, or a later one", null);
+        }
+    }
+
+    /** A record that was promised can be found and not be read. */
+    public static final class Rotten extends DurableException {
+        private static final long serialVersionUID = 1;
+
+        public Rotten(String facts) {
+            super("log-rotten", facts, "the device loses bits: replace it; then start over, and have the group admit this member anew", null);
+        }
+    }
+
+    /** Records that were promised are not there, and later ones are. */
+    public static final class Hole extends DurableException {
+        private static final long serialVersionUID = 1;
+
+        public Hole(String facts) {
+            super("log-hole", facts, "put the missing file back if it was moved; otherwise start over, and have the group admit this "
+                    + "member anew", null);
+        }
+    }
+
+    /** No generation of the snapshot that the log rests on can be read. */
+    public static final class RottenSnapshot extends DurableException {
+        private static final long serialVersionUID = 1;
+
+        public RottenSnapshot(String facts) {
+            super("snapshot-rotten", facts, "start over, and have the group admit this member anew: it is sent a snapshot", null);
+        }
+    }
+
+    /** An earlier call failed, and this log takes nothing until it is opened anew. */
+    public static final class LogFailed extends DurableException {
+        private static final long serialVersionUID = 1;
+
+        public LogFailed(DurableException first) {
+            super("log-failed", "since " + first.code() + ": " + first.facts(), first.remedy(), first);
+        }
+    }
+
+    /** The log was closed. */
+    public static final class LogClosed extends DurableException {
+        private static final long serialVersionUID = 1;
+
+        public LogClosed(String facts) {
+            super("log-closed", facts, "none is needed while the program ends; else report it", null);
+        }
+    }
+}
