--- a/src/main/java/calicostream/durable/Disk.java
+++ b/src/main/java/calicostream/durable/Disk.java
@@ -23,9 +23,6 @@
     /** Adds the buffer's remaining bytes at the file's end; the file is made when there is none. */
     void append(String name, java.nio.ByteBuffer bytes) throws DurableException;
 
-    /** Cuts the file to {@code length}, which is at most its own. */
-    void truncate(String name, long length) throws DurableException;
-
     /** Returns when the file's bytes are on the disk. */
     void sync(String name) throws DurableException;
 
--- a/src/main/java/calicostream/durable/DurableLog.java
+++ b/src/main/java/calicostream/durable/DurableLog.java
@@ -46,7 +46,8 @@
 
     /**
      * One of {@code of} chunks of the snapshot that stands for all entries up to {@code index}; in any order, a second copy does nothing.
-     * The snapshot exists from the first {@link #sync()} after its last chunk on; until then a crash leaves nothing of it.
+     * The snapshot exists from the first {@link #sync()} after its last chunk on, which the next entry or {@link #truncateUntil} calls
+     * by itself; until then a crash leaves nothing of it.
      * Chunks of another snapshot drop those of an unfinished one.
      */
     void snapshotChunk(long index, long term, int chunk, int of, byte[] bytes) throws DurableException;
--- /dev/null
+++ b/src/main/java/calicostream/durable/Health.java
@@ -0,0 +1,86 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.durable;
+
+import calicostream.durable.Status.State;
+
+/**
+ * The state of a log as operators see it: a machine that takes what happened and when. It reads no clock. Its caller holds the lock that
+ * makes it safe to be asked by any thread.
+ */
+final class Health {
+
+    static final int CALM = 8;
+
+    private final long slowNanos;
+    private State state = State.READY;
+    private long since;
+    private DurableException trouble;
+    private boolean syncing;
+    private long began;
+    private int calm;
+    private long syncs;
+    private long slow;
+    private long longest;
+
+    Health(long slowNanos, long now) {
+        this.slowNanos = slowNanos;
+        this.since = now;
+    }
+
+    void syncBegan(long now) {
+        syncing = true;
+        began = now;
+    }
+
+    /** Also called where the sync failed: its time counts. */
+    void syncEnded(long now) {
+        long took = now - began;
+        syncing = false;
+        syncs++;
+        longest = Math.max(longest, took);
+        if (took > slowNanos) {
+            slow++;
+            calm = 0;
+            if (state == State.READY) go(State.SLOW, now);
+            if (state == State.SLOW) trouble = slow(took);
+        } else if (state == State.SLOW && ++calm >= CALM) {
+            go(State.READY, now);
+            trouble = null;
+        }
+    }
+
+    /** The first failure stays: those that follow from it say less. */
+    void failed(DurableException first, long now) {
+        if (state != State.READY && state != State.SLOW) return;
+        go(first.state(), now);
+        trouble = first;
+    }
+
+    void closed(long now) {
+        go(State.CLOSED, now);
+    }
+
+    private void go(State next, long now) {
+        state = next;
+        since = now;
+    }
+
+    private DurableException slow(long took) {
+        return new DurableException.Slow("a sync took " + took / 1_000_000 + " ms, " + slowNanos / 1_000_000 + " are the bound");
+    }
+
+    State state() {
+        return state;
+    }
+
+    DurableException trouble() {
+        return trouble;
+    }
+
+    /** A sync that still runs past the bound is seen as slow before it ends. */
+    Status status(long now, long incarnation, boolean barred, long lastIndex, long bytes) {
+        if (syncing && state == State.READY && now - began > slowNanos)
+            return new Status(State.SLOW, began, slow(now - began), incarnation, barred, syncs, slow, Math.max(longest, now - began), lastIndex, bytes);
+        return new Status(state, since, trouble, incarnation, barred, syncs, slow, longest, lastIndex, bytes);
+    }
+}
--- /dev/null
+++ b/src/main/java/calicostream/durable/Opening.java
@@ -0,0 +1,141 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.durable;
+
+import calicostream.durable.Amnesia.Doubt;
+import calicostream.durable.Amnesia.Standing;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * One opening of a log. The order of its writes is what keeps a doubt from being lost by a crash: the mark of the new incarnation, with
+ * the doubt if there is one, comes before anything else is changed.
+ */
+final class Opening {
+
+    private final Disk disk;
+    private final Disk marksDisk;
+    private final Identity who;
+    private final Options options;
+    private final List<String> findings = new ArrayList<>();
+    Contents contents;
+    Marks marks;
+    Generations generations;
+    Segments segments;
+    long incarnation;
+    Recovered recovered;
+
+    Opening(Disk disk, Disk marksDisk, Identity who, Options options) {
+        this.disk = disk;
+        this.marksDisk = marksDisk;
+        this.who = who;
+        this.options = options;
+    }
+
+    void run() throws DurableException {
+        marks = Marks.read(marksDisk, who, findings);
+        generations = new Generations(disk, who);
+        if (options.startOver()) startOver();
+        else resume();
+    }
+
+    private void resume() throws DurableException {
+        Record.Mark mark = marks.last();
+        List<Scan.Segment> files = new ArrayList<>();
+        for (String name : Names.of(Names.LOG, disk.list())) files.add(new Scan.Segment(name, disk.read(name)));
+        Scan.Result scan = Scan.run(who, files, mark);
+        files.clear();
+        findings.addAll(scan.findings());
+        contents = scan.vouched();
+        List<Record> tail = tail(scan);
+        Contents whole = contents.copy();
+        for (Record record : tail) whole.apply(record);
+        Standing standing = worse(mark == null ? whole.standing() : mark.standing(), whole.standing());
+        String why = mark == null ? "" : mark.why();
+        Doubt doubt = scan.doubt() == Doubt.NONE && mark == null && marks.isUnreadable() ? Doubt.MARKS_FORGOT : scan.doubt();
+        if (doubt != Doubt.NONE) {
+            standing = Standing.BARRED;
+            why = scan.facts().isEmpty() ? "no mark can be read" : scan.facts();
+        }
+        contents.stand(standing);
+        whole.stand(standing);
+        incarnation = 1 + Math.max(scan.incarnation(), mark == null ? 0 : mark.incarnation());
+        Recovered.Snapshot snapshot = generations.newest(whole, findings);
+        generations.unreadable().forEach(contents::drop);
+
+        marks.begin(new Record.Mark(who, incarnation, scan.seq(), scan.crc(), standing, why));
+        deleteParts();
+        segments = new Segments(disk, who, incarnation, scan.nextSegment(), scan.reach());
+        segments.vouched(scan.seq());
+        segments.begin(contents, scan.seq(), scan.crc(), tail);
+        marks.put(new Record.Mark(who, incarnation, segments.seq(), segments.crc(), standing, why));
+        segments.marked();
+        for (String name : scan.stale()) disk.delete(name);
+        contents = whole;
+        generations.deleteBut(contents.snapshots());
+        finish(doubt, why, snapshot);
+    }
+
+    /** The sound records past the mark, up to one whose snapshot never became whole. */
+    private List<Record> tail(Scan.Result scan) throws DurableException {
+        List<Record> tail = new ArrayList<>();
+        for (Record record : scan.tail()) {
+            if (record instanceof Record.Snapshot snapshot && generations.load(snapshot.ref()) == null) break;
+            // The worse of log and mark holds: a bar past the mark may have been answered for, an admission was not.
+            if (!(record instanceof Record.Stands stands) || stands.standing() == Standing.BARRED) tail.add(record);
+        }
+        return tail;
+    }
+
+    private static Standing worse(Standing a, Standing b) {
+        if (a == Standing.BARRED || b == Standing.BARRED) return Standing.BARRED;
+        return a == Standing.FRESH ? a : b;
+    }
+
+    private void startOver() throws DurableException {
+        Record.Mark mark = marks.last();
+        long before = mark == null ? 0 : mark.incarnation();
+        long number = 0;
+        List<String> names = disk.list();
+        for (String name : Names.of(Names.LOG, names)) {
+            number = Names.number(name);
+            Frames.Frame frame = Frames.read(disk.read(name), 0, name);
+            if (frame == null || !(frame.record() instanceof Record.Head head)) continue;
+            if (!head.who().equals(who)) throw new DurableException.Foreign(name + " belongs to " + head.who() + ", this is " + who);
+            before = Math.max(before, head.incarnation());
+        }
+        incarnation = before + 1;
+        long seq = mark == null ? 0 : mark.seq();
+        int crc = mark == null ? 0 : mark.crc();
+        String why = "started over at incarnation " + incarnation;
+        marks.begin(new Record.Mark(who, incarnation, seq, crc, Standing.BARRED, why));
+        deleteParts();
+        for (String name : names) if (name.startsWith(Names.ASIDE)) disk.delete(name);
+        List<String> old = new ArrayList<>(Names.of(Names.LOG, names));
+        old.addAll(Names.of(Names.SNAPSHOT, names));
+        for (String name : old) disk.rename(name, Names.ASIDE + incarnation + "-" + name);
+        disk.syncFolder();
+        if (!old.isEmpty()) findings.add("set aside: " + old);
+        contents = new Contents();
+        contents.stand(Standing.BARRED);
+        segments = new Segments(disk, who, incarnation, number + 1, java.util.Map.of());
+        segments.vouched(seq);
+        segments.begin(contents, seq, crc, List.of());
+        marks.put(new Record.Mark(who, incarnation, segments.seq(), segments.crc(), Standing.BARRED, why));
+        segments.marked();
+        finish(Doubt.NONE, why, null);
+    }
+
+    private void deleteParts() throws DurableException {
+        for (String name : disk.list()) if (Names.isPart(name)) disk.delete(name);
+        if (marksDisk == disk) return;
+        for (String name : marksDisk.list()) if (Names.isPart(name)) marksDisk.delete(name);
+    }
+
+    private void finish(Doubt doubt, String facts, Recovered.Snapshot snapshot) {
+        long from = snapshot == null ? 0 : snapshot.index();
+        recovered = new Recovered(contents.term(), contents.votedFor(), contents.notes(), snapshot, contents.entriesAbove(from),
+                new Amnesia.Own(incarnation, contents.term(), contents.votedFor(), contents.last(), contents.standing(), doubt, facts),
+                List.copyOf(findings));
+        contents.forgetEntries();
+    }
+}
--- a/src/main/java/calicostream/durable/Status.java
+++ b/src/main/java/calicostream/durable/Status.java
@@ -1,7 +1,10 @@
 // SPDX-License-Identifier: Apache-2.0
 package calicostream.durable;
 
-/** What operators see of a log. {@code trouble} is null in READY; {@code sinceNanos} is on the clock of {@link Options}. */
+/**
+ * What operators see of a log. {@code trouble} is null in READY; {@code sinceNanos} is on the clock of {@link Options}; {@code bytes} are in
+ * the files that are written now.
+ */
 public record Status(State state, long sinceNanos, DurableException trouble, long incarnation, boolean barred, long syncs, long slowSyncs,
         long longestSyncNanos, long lastIndex, long bytes) {
 
--- a/src/main/java/calicostream/durable/Store.java
+++ b/src/main/java/calicostream/durable/Store.java
@@ -1,11 +1,251 @@
 // SPDX-License-Identifier: Apache-2.0
 package calicostream.durable;
 
-final class Store {
+import calicostream.durable.Amnesia.Standing;
+import calicostream.durable.Record.Ref;
+import java.util.List;
 
-    private Store() {}
+/** The log of {@link DurableLog} on two {@link Disk}s. It makes no judgement: {@link Opening} reads, {@link Contents} has the rules. */
+final class Store implements DurableLog {
+
+    private static final int LARGEST = 64 << 20;
+
+    private final Disk disk;
+    private final Disk marksDisk;
+    private final Identity who;
+    private final Options options;
+    private final Contents contents;
+    private final Marks marks;
+    private final Generations generations;
+    private final Segments segments;
+    private final long incarnation;
+    private final Recovered recovered;
+    /** Guarded by itself, as operators ask from any thread. */
+    private final Health health;
+    private String why;
+    private long wantedAfter;
+    private volatile long lastIndex;
+    private volatile boolean barred;
+    private volatile long bytes;
+
+    private Store(Disk disk, Disk marksDisk, Identity who, Options options, Opening opening) {
+        this.disk = disk;
+        this.marksDisk = marksDisk;
+        this.who = who;
+        this.options = options;
+        this.contents = opening.contents;
+        this.marks = opening.marks;
+        this.generations = opening.generations;
+        this.segments = opening.segments;
+        this.incarnation = opening.incarnation;
+        this.recovered = opening.recovered;
+        this.why = opening.marks.last().why();
+        this.health = new Health(options.slowSyncNanos(), options.clock().getAsLong());
+        signs();
+    }
 
     static DurableLog open(Disk disk, Disk marks, Identity who, Options options) throws DurableException {
-        throw new DurableException.Missing("not written yet");
+        disk.lock();
+        boolean open = false;
+        try {
+            if (marks != disk) marks.lock();
+            Opening opening = new Opening(disk, marks, who, options);
+            opening.run();
+            Store store = new Store(disk, marks, who, options, opening);
+            open = true;
+            return store;
+        } finally {
+            if (!open) {
+                disk.close();
+                if (marks != disk) marks.close();
+            }
+        }
+    }
+
+    @Override
+    public Recovered recovered() {
+        return recovered;
+    }
+
+    @Override
+    public void appendEntry(long index, long term, byte[] bytes) throws DurableException {
+        if (bytes.length > LARGEST) throw new IllegalArgumentException("an entry of " + bytes.length + " bytes, " + LARGEST + " at most");
+        if (generations.isWhole()) sync();
+        write(new Record.Entry(index, term, bytes));
+    }
+
+    @Override
+    public void truncateFrom(long index) throws DurableException {
+        if (index == contents.last() + 1) return;
+        write(new Record.CutFrom(index));
+    }
+
+    @Override
+    public void truncateUntil(long index) throws DurableException {
+        usable();
+        if (generations.isWhole()) sync();
+        if (index > contents.snapshotIndex())
+            throw new IllegalArgumentException("entries up to " + index + " are wanted: the newest snapshot ends at " + contents.snapshotIndex());
+        wantedAfter = Math.max(wantedAfter, index);
+    }
+
+    @Override
+    public void saveTerm(long term, String votedFor) throws DurableException {
+        if (term == contents.term() && votedFor.equals(contents.votedFor())) return;
+        write(new Record.Term(term, votedFor));
+    }
+
+    @Override
+    public void saveNote(String name, byte[] value) throws DurableException {
+        write(new Record.Note(name, value));
+    }
+
+    private void write(Record record) throws DurableException {
+        usable();
+        String wrong = contents.check(record);
+        if (wrong != null) throw new IllegalArgumentException(wrong);
+        guarded(() -> segments.write(record));
+        contents.apply(record);
+        signs();
+    }
+
+    @Override
+    public void snapshotChunk(long index, long term, int chunk, int of, byte[] bytes) throws DurableException {
+        usable();
+        if (of < 1 || chunk < 0 || chunk >= of) throw new IllegalArgumentException("chunk " + chunk + " of " + of);
+        if (bytes.length > LARGEST) throw new IllegalArgumentException("a chunk of " + bytes.length + " bytes, " + LARGEST + " at most");
+        if (index <= contents.snapshotIndex()) return;
+        guarded(() -> generations.chunk(new Ref(index, term), chunk, of, bytes));
+    }
+
+    @Override
+    public void dropUnfinishedSnapshot() throws DurableException {
+        usable();
+        guarded(generations::drop);
+    }
+
+    @Override
+    public void sync() throws DurableException {
+        usable();
+        guarded(this::syncAll);
+        signs();
+    }
+
+    private void syncAll() throws DurableException {
+        Ref whole = generations.finish();
+        if (whole != null) {
+            Record.Snapshot record = new Record.Snapshot(whole);
+            // Chunks may have waited while an entry was cut that they stand for, or a later snapshot was taken.
+            if (contents.check(record) == null) {
+                segments.write(record);
+                contents.apply(record);
+            }
+        }
+        if (segments.isDirty()) {
+            timed();
+            segments.marked();
+        }
+        // Only now, as the files named until here might have been needed again.
+        if (whole != null) generations.deleteBut(contents.snapshots());
+        if (wantedAfter > 0) segments.deleteUpTo(Math.min(wantedAfter, contents.floor()));
+        if (segments.size() > options.segmentBytes()) segments.begin(contents, segments.seq(), segments.crc(), List.of());
+    }
+
+    private void timed() throws DurableException {
+        synchronized (health) {
+            health.syncBegan(options.clock().getAsLong());
+        }
+        try {
+            segments.sync();
+            mark();
+        } finally {
+            synchronized (health) {
+                health.syncEnded(options.clock().getAsLong());
+            }
+        }
+    }
+
+    private void mark() throws DurableException {
+        marks.put(new Record.Mark(who, incarnation, segments.seq(), segments.crc(), contents.standing(), why));
+    }
+
+    @Override
+    public void bar(String reason) throws DurableException {
+        stand(Standing.BARRED, reason);
+    }
+
+    @Override
+    public void admit() throws DurableException {
+        stand(Standing.ADMITTED, "");
+    }
+
+    private void stand(Standing standing, String reason) throws DurableException {
+        write(new Record.Stands(standing));
+        why = reason;
+        sync();
+    }
+
+    private interface Step {
+        void run() throws DurableException;
+    }
+
+    private void guarded(Step step) throws DurableException {
+        try {
+            step.run();
+        } catch (DurableException e) {
+            fail(e);
+            throw e;
+        } catch (RuntimeException | Error e) {
+            // Half a step may have been done, and a second try would do it twice.
+            fail(new DurableException.Failed(who + " at " + disk.place() + ": " + e, e));
+            throw e;
+        }
+    }
+
+    private void fail(DurableException e) {
+        synchronized (health) {
+            health.failed(e, options.clock().getAsLong());
+        }
+    }
+
+    private void usable() throws DurableException {
+        synchronized (health) {
+            switch (health.state()) {
+                case READY, SLOW -> { }
+                case CLOSED -> throw new DurableException.LogClosed(who + " at " + disk.place());
+                case FULL, READ_ONLY, FAILED -> throw new DurableException.LogFailed(health.trouble());
+            }
+        }
+    }
+
+    private void signs() {
+        lastIndex = contents.last();
+        barred = contents.standing() == Standing.BARRED;
+        bytes = segments.size() + marks.bytes();
+    }
+
+    @Override
+    public Status status() {
+        synchronized (health) {
+            return health.status(options.clock().getAsLong(), incarnation, barred, lastIndex, bytes);
+        }
+    }
+
+    @Override
+    public void close() {
+        synchronized (health) {
+            if (health.state() == Status.State.CLOSED) return;
+        }
+        try {
+            sync();
+        } catch (DurableException e) {
+            // What was not synced was not promised; the state says why.
+        } finally {
+            synchronized (health) {
+                health.closed(options.clock().getAsLong());
+            }
+            disk.close();
+            if (marksDisk != disk) marksDisk.close();
+        }
     }
 }
