Durable: lies of one place are told without peers; branches of one history

Need: with peers that remember, the marks' own checks were not shown. Change: peers are silent unless both places lie; copies that go on elsewhere are played, too.

--- a/src/measure/java/calicostream/durable/Trials.java
+++ b/src/measure/java/calicostream/durable/Trials.java
@@ -100,7 +100,14 @@
         play.promisedAll();
         FaultyDisk log = play.log.copy();
         FaultyDisk marks = play.marks.copy();
-        Play branch = lie == Lie.LOG_BRANCHED || lie == Lie.SEGMENT_BRANCHED ? branch(play, random) : null;
+        Play branch = null;
+        if (lie == Lie.LOG_BRANCHED || lie == Lie.SEGMENT_BRANCHED) {
+            // Both go on from one opening, so that numbers and incarnations are the same.
+            play.close();
+            branch = branch(play, random);
+            play.open();
+            play.goOn(play.found(false));
+        }
         boolean log0 = lie == Lie.LOG_SYNC_LOST || lie == Lie.BOTH_SYNC_LOST;
         boolean marks0 = lie == Lie.MARKS_SYNC_LOST || lie == Lie.BOTH_SYNC_LOST;
         play.log.losing = log0;
@@ -109,13 +116,14 @@
         play.durable.sync();
         play.promisedAll();
         if (lie == Lie.BOTH_OLDER_APART) {
-            // The copy of the log is later than that of the marks, and peers have forgotten.
+            // The copy of the log is later than that of the marks.
             log = play.log.copy();
             play.act(20);
             play.durable.sync();
             play.promisedAll();
-            play.seen = Amnesia.Seen.NOTHING;
         }
+        // Where one place alone lies, the other has to tell: peers say nothing.
+        if (lie != Lie.BOTH_SYNC_LOST && lie != Lie.BOTH_OLDER && lie != Lie.BOTH_EMPTY) play.seen = Amnesia.Seen.NOTHING;
         if (log0 || marks0) play.cut(0);
         else play.killed();
         tell(play, lie, log, marks, branch, random);
@@ -179,7 +187,8 @@
             case LOG_BRANCHED -> play.log.restore(branch.log);
             case SEGMENT_BRANCHED -> {
                 List<String> files = Names.of(Names.LOG, play.log.files()).stream().filter(branch.log.files()::contains).toList();
-                if (!files.isEmpty()) play.log.put(files.get(files.size() - 1), branch.log.bytes(files.get(files.size() - 1)));
+                String name = files.isEmpty() ? null : files.get(Math.max(0, files.size() - 1 - random.nextInt(3)));
+                if (name != null) play.log.put(name, branch.log.bytes(name));
             }
             case SNAPSHOT_GONE -> {
                 List<String> files = Names.of(Names.SNAPSHOT, play.log.files());
