--- /dev/null
+++ b/src/main/java/calicostream/cluster/Effects.java
@@ -0,0 +1,36 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.cluster;
+
+import java.util.List;
+
+/**
+ * What a command led to: an answer for its sender, and events for whoever watches the machine at the copy that applied
+ * it. Events are told at each copy, possibly again after a restart, so they are news, never orders.
+ *
+ * @param refusal stable code of why the machine did not accept the command; null if it did
+ * @param answer in the machine's own encoding; the facts of a refusal if there is one
+ */
+public record Effects(String refusal, byte[] answer, List<Event> events) {
+    /** Something that happened in a machine, for watchers; {@code body} is in the machine's own encoding. */
+    public record Event(String kind, byte[] body) {
+    }
+
+    /** Accepted, nothing to say. */
+    public static final Effects NONE = new Effects(null, new byte[0], List.of());
+
+    public Effects {
+        events = List.copyOf(events);
+    }
+
+    public static Effects answer(byte[] answer, Event... events) {
+        return new Effects(null, answer, List.of(events));
+    }
+
+    public static Effects refused(String code, byte[] facts) {
+        return new Effects(code, facts, List.of());
+    }
+
+    public boolean accepted() {
+        return refusal == null;
+    }
+}
