Cluster: voters on MicroRaft behind ports for time, links and store

Need: consensus is a library's; its clock, threads, transport and store have to come from outside. Change: the voter and its pace on one reactor, with the codec of the library's messages.

--- /dev/null
+++ b/src/main/java/calicostream/cluster/Frame.java
@@ -0,0 +1,63 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.cluster;
+
+/** What goes over {@link Links}: messages among voters, and members' requests with their replies. Immutable. */
+public sealed interface Frame {
+    int VERSION = 1;
+
+    /** What a request asks for. */
+    enum Ask {
+        /** {@code body} is an {@link Entry} to put into the log. */
+        ENTRY,
+        /** {@code body} is a question to {@code machine}, answered as of now or later. */
+        READ,
+        /** A question to {@code machine}, answered from the copy at hand with its age. */
+        LOCAL
+    }
+
+    /** Of the consensus, in its own encoding. */
+    record Raft(byte[] message) implements Frame {
+    }
+
+    /** {@code id} is chosen by the sender, another one for each attempt. */
+    record Request(long id, Ask ask, String machine, byte[] body) implements Frame {
+    }
+
+    /** @param ageNanos with {@link Ask#LOCAL}, how old the state is at most that was asked; else 0 */
+    record Reply(long id, long ageNanos, Outcome outcome) implements Frame {
+    }
+
+    default byte[] encode() {
+        Bytes.Writer out = new Bytes.Writer().u8(VERSION);
+        if (this instanceof Raft raft) {
+            out.u8(1).blob(raft.message);
+        } else if (this instanceof Request request) {
+            out.u8(2).i64(request.id).u8(request.ask.ordinal()).text(request.machine).blob(request.body);
+        } else if (this instanceof Reply reply) {
+            reply.outcome.encode(out.u8(3).i64(reply.id).i64(reply.ageNanos));
+        }
+        return out.done();
+    }
+
+    /** @throws ClusterException.Malformed if the bytes are no frame of this version */
+    static Frame decode(byte[] bytes) {
+        Bytes.Reader in = new Bytes.Reader("frame", bytes);
+        in.version(VERSION);
+        int kind = in.u8();
+        Frame frame = switch (kind) {
+            case 1 -> new Raft(in.blob(Links.MAX_FRAME));
+            case 2 -> {
+                long id = in.i64();
+                int ask = in.u8();
+                if (ask >= Ask.values().length) {
+                    throw in.malformed("no request asks for " + ask);
+                }
+                yield new Request(id, Ask.values()[ask], in.text(Entry.MAX_NAME), in.blob(2 * Command.MAX_BODY));
+            }
+            case 3 -> new Reply(in.i64(), in.i64(), Outcome.decode(in));
+            default -> throw in.malformed("no frame is of kind " + kind);
+        };
+        in.end();
+        return frame;
+    }
+}
--- /dev/null
+++ b/src/main/java/calicostream/cluster/MemberSession.java
@@ -0,0 +1,240 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.cluster;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * A member's side of its session: decides what to send to which voter and when to send it again; pure, one thread, no
+ * clock, no randomness but what is handed in. Commands go out one after the other under their number, so a retry counts
+ * once; a lost session takes its unanswered commands with it, told as {@link ClusterException.Unsure} for the one that
+ * was out and {@link ClusterException.SessionOver} for those that were not. The time of a session counts from before
+ * the sending of what was answered, so {@link #isAlive} ends before the leader can expire it.
+ */
+public final class MemberSession {
+    /** What to send. */
+    public record Send(int voter, byte[] frame) {
+    }
+
+    /**
+     * @param ttlMillis of the session
+     * @param retryMillis until another voter is tried
+     * @param queue of commands that wait; more are refused
+     */
+    public record Settings(int member, int ttlMillis, int retryMillis, int queue) {
+    }
+
+    private record Waiting(String machine, byte[] body, Consumer<Outcome> done) {
+    }
+
+    private record Attempt(long id, Entry entry, long sentNanos) {
+    }
+
+    private record Read(Frame.Ask ask, String machine, byte[] question, long sinceNanos, Consumer<Frame.Reply> done) {
+    }
+
+    private final Settings settings;
+    private final ArrayDeque<Waiting> queue = new ArrayDeque<>();
+    private final Map<Long, Read> reads = new HashMap<>();
+    private final List<Send> out = new ArrayList<>();
+    private List<Integer> voters;
+    private int turn;
+    private long nextId;
+    private long nonce;
+    private long session;
+    private long sequence;
+    private boolean started;
+    private long aliveUntil;
+    private Waiting running;
+    private Attempt attempt;
+    private long lastHeard;
+
+    /** @param mark unlike that of any other process of this member, ever; request ids and nonces start at it */
+    public MemberSession(Settings settings, List<Integer> voters, long mark) {
+        this.settings = settings;
+        this.voters = List.copyOf(voters);
+        this.nextId = mark;
+        this.nonce = mark;
+    }
+
+    /** The voters changed. */
+    public void voters(List<Integer> now) {
+        voters = List.copyOf(now);
+    }
+
+    /** 0 if there is none. */
+    public long session() {
+        return session;
+    }
+
+    /** The session is alive for sure: nobody has expired it, nor can within this call. */
+    public boolean isAlive(long nowNanos) {
+        return session != 0 && aliveUntil - nowNanos > 0;
+    }
+
+    public int waiting() {
+        return queue.size() + (running == null ? 0 : 1);
+    }
+
+    /** Runs a command once; {@code done} hears how it went, exactly once. */
+    public void run(String machine, byte[] body, Consumer<Outcome> done) {
+        if (queue.size() >= settings.queue) {
+            done.accept(Outcome.failed(0, ClusterException.QueueFull.CODE, settings.member, queue.size(), settings.queue));
+        } else if (body.length > Command.MAX_BODY) {
+            done.accept(Outcome.failed(0, ClusterException.TooLarge.CODE, body.length, Command.MAX_BODY));
+        } else {
+            queue.add(new Waiting(machine, body, done));
+        }
+    }
+
+    /** Reads once, without retry; {@code done} hears of it exactly once, of {@link ClusterException.NoQuorum} in time. */
+    public void read(Frame.Ask ask, String machine, byte[] question, long nowNanos, Consumer<Frame.Reply> done) {
+        if (reads.size() >= settings.queue) {
+            done.accept(new Frame.Reply(0, 0, Outcome.failed(0, ClusterException.QueueFull.CODE, settings.member,
+                    reads.size(), settings.queue)));
+            return;
+        }
+        long id = nextId++;
+        reads.put(id, new Read(ask, machine, question, nowNanos, done));
+        out.add(new Send(voter(), new Frame.Request(id, ask, machine, question).encode()));
+    }
+
+    /** Gives the session back; nothing may be run after this. */
+    public void close() {
+        if (session != 0) {
+            out.add(new Send(voter(), new Frame.Request(nextId++, Frame.Ask.ENTRY, "",
+                    new Entry.Close(session).encode()).encode()));
+            lose();
+        }
+    }
+
+    /** Called at least every tenth of {@code retryMillis}, and after what may have made something to send. */
+    public List<Send> tick(long nowNanos) {
+        if (!started) {
+            started = true;
+            lastHeard = nowNanos;
+        }
+        long retry = settings.retryMillis * 1_000_000L;
+        if (attempt != null && nowNanos - attempt.sentNanos > retry) {
+            turn++;
+            send(attempt.entry, nowNanos);
+        }
+        if (attempt == null) {
+            next(nowNanos);
+        }
+        List<Read> late = new ArrayList<>();
+        reads.values().removeIf(read -> nowNanos - read.sinceNanos > 2 * retry && late.add(read));
+        for (Read read : late) {
+            read.done.accept(new Frame.Reply(0, 0, Outcome.failed(0, ClusterException.NoQuorum.CODE, settings.member,
+                    (nowNanos - lastHeard) / 1_000_000)));
+        }
+        List<Send> taken = List.copyOf(out);
+        out.clear();
+        return taken;
+    }
+
+    private void next(long nowNanos) {
+        if (session == 0) {
+            send(new Entry.Open(settings.member, nonce, settings.ttlMillis), nowNanos);
+        } else if (running != null || !queue.isEmpty()) {
+            if (running == null) {
+                running = queue.poll();
+                sequence++;
+            }
+            send(new Entry.Run(session, sequence, sequence - 1, running.machine, running.body), nowNanos);
+        } else if (nowNanos - (aliveUntil - SessionKeeper.surelyAliveNanos(settings.ttlMillis))
+                > settings.ttlMillis * 1_000_000L / 4) {
+            send(new Entry.Keep(session), nowNanos);
+        }
+    }
+
+    private void send(Entry entry, long nowNanos) {
+        attempt = new Attempt(nextId++, entry, nowNanos);
+        out.add(new Send(voter(), new Frame.Request(attempt.id, Frame.Ask.ENTRY, "", entry.encode()).encode()));
+    }
+
+    private int voter() {
+        return voters.get(Math.floorMod(turn, voters.size()));
+    }
+
+    /** A voter answered. What is not, or no longer, asked for is left alone. */
+    public void received(int from, Frame.Reply reply, long nowNanos) {
+        lastHeard = nowNanos;
+        Read read = reads.remove(reply.id());
+        if (read != null) {
+            // The answer is as old as the copy was, and then some: it may have been asked as soon as it was sent.
+            long age = read.ask == Frame.Ask.LOCAL ? reply.ageNanos() + (nowNanos - read.sinceNanos) : 0;
+            follow(from, reply.outcome());
+            read.done.accept(new Frame.Reply(reply.id(), age, reply.outcome()));
+        }
+        if (attempt == null || attempt.id != reply.id()) {
+            return;
+        }
+        Outcome outcome = reply.outcome();
+        String code = outcome.kind() == Outcome.Kind.FAILED ? outcome.code() : "";
+        switch (code) {
+            case ClusterException.NotLeader.CODE -> {
+                // Again at the next retry, not at once: two voters that each take the other for the leader would be flooded.
+                follow(from, outcome);
+            }
+            case ClusterException.QueueFull.CODE, ClusterException.Unsure.CODE, ClusterException.NoQuorum.CODE,
+                    ClusterException.VoterStopped.CODE -> {
+                // Told by time: the retry goes out with the same number.
+            }
+            case ClusterException.SessionOver.CODE, ClusterException.OutOfOrder.CODE -> lose();
+            case ClusterException.UnknownMachine.CODE, ClusterException.Malformed.CODE, ClusterException.TooLarge.CODE -> {
+                // Refused before it got into the log: its number is free.
+                sequence -= attempt.entry instanceof Entry.Run ? 1 : 0;
+                answered(attempt, outcome);
+            }
+            default -> answered(attempt, outcome);
+        }
+    }
+
+    private void answered(Attempt to, Outcome outcome) {
+        attempt = null;
+        if (to.entry instanceof Entry.Open) {
+            if (!outcome.accepted()) {
+                attempt = to;
+                return;
+            }
+            session = new Bytes.Reader("session", outcome.answer()).i64();
+            sequence = 0;
+        }
+        aliveUntil = to.sentNanos + SessionKeeper.surelyAliveNanos(settings.ttlMillis);
+        if (to.entry instanceof Entry.Run) {
+            Waiting done = running;
+            running = null;
+            done.done.accept(outcome);
+        }
+    }
+
+    private void follow(int from, Outcome outcome) {
+        if (outcome.kind() == Outcome.Kind.FAILED && outcome.code().equals(ClusterException.NotLeader.CODE)) {
+            int leader = ((ClusterException.NotLeader) outcome.error()).leader();
+            int at = voters.indexOf(leader);
+            turn = at >= 0 && leader != from ? at : turn + 1;
+        }
+    }
+
+    private void lose() {
+        long lost = session;
+        session = 0;
+        attempt = null;
+        nonce++;
+        List<Waiting> unsent = new ArrayList<>(queue);
+        queue.clear();
+        Waiting unsure = running;
+        running = null;
+        if (unsure != null) {
+            unsure.done.accept(Outcome.failed(0, ClusterException.Unsure.CODE, settings.member, lost, sequence));
+        }
+        for (Waiting waiting : unsent) {
+            waiting.done.accept(Outcome.failed(0, ClusterException.SessionOver.CODE, lost, 0));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/calicostream/cluster/raft/StoreOnLog.java
@@ -0,0 +1,125 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.cluster.raft;
+
+import calicostream.cluster.Bytes;
+import io.microraft.model.log.LogEntry;
+import io.microraft.model.log.RaftGroupMembersView;
+import io.microraft.model.log.SnapshotChunk;
+import io.microraft.model.persistence.RaftEndpointPersistentState;
+import io.microraft.model.persistence.RaftTermPersistentState;
+import io.microraft.persistence.RaftStore;
+import io.microraft.persistence.RestoredRaftState;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SortedMap;
+
+/**
+ * The library's store over a {@link VoterLog}; one thread, no state of its own. Every call that the library says is to
+ * be flushed syncs before it returns.
+ */
+public final class StoreOnLog implements RaftStore {
+    private static final String SELF = "self";
+    private static final String FIRST = "first-voters";
+
+    /**
+     * What a log held when it was opened.
+     *
+     * @param term 0 if none was saved
+     * @param votedFor empty for no vote
+     * @param snapshot its chunks in order, empty if there is none
+     */
+    public record Found(SortedMap<String, byte[]> notes, long term, String votedFor, List<byte[]> snapshot,
+            List<byte[]> entries) {
+    }
+
+    private final VoterLog log;
+
+    public StoreOnLog(VoterLog log) {
+        this.log = log;
+    }
+
+    /** Empty if the log has never been a voter's. */
+    public static Optional<RestoredRaftState> restored(Found found) {
+        byte[] self = found.notes().get(SELF);
+        byte[] first = found.notes().get(FIRST);
+        if (self == null || first == null) {
+            return Optional.empty();
+        }
+        Bytes.Reader in = new Bytes.Reader("own name", self);
+        RaftEndpointPersistentState me = Codec.MODEL.createRaftEndpointPersistentStateBuilder()
+                .setLocalEndpoint(Codec.voter(in)).setVoting(in.u8() != 0).build();
+        RaftTermPersistentState term = Codec.MODEL.createRaftTermPersistentStateBuilder().setTerm((int) found.term())
+                .setVotedFor(voted(found.votedFor())).build();
+        List<SnapshotChunk> chunks = new ArrayList<>();
+        found.snapshot().forEach(bytes -> chunks.add(Codec.chunk(bytes)));
+        var snapshot = chunks.isEmpty() ? null : Codec.MODEL.createSnapshotEntryBuilder().setIndex(chunks.get(0).getIndex())
+                .setTerm(chunks.get(0).getTerm()).setSnapshotChunks(chunks)
+                .setGroupMembersView(chunks.get(0).getGroupMembersView()).build();
+        List<LogEntry> entries = new ArrayList<>();
+        found.entries().forEach(bytes -> entries.add(Codec.entry(bytes)));
+        return Optional.of(new RestoredRaftState(me, Codec.view(first), term, snapshot, entries));
+    }
+
+    private static Voter voted(String name) {
+        if (name.isEmpty()) {
+            return null;
+        }
+        String[] parts = name.split("\\.");
+        return new Voter(Integer.parseInt(parts[0]), Integer.parseInt(parts[1]));
+    }
+
+    @Override
+    public void persistAndFlushLocalEndpoint(RaftEndpointPersistentState self) throws IOException {
+        Bytes.Writer out = new Bytes.Writer();
+        Codec.voter(out, self.getLocalEndpoint());
+        log.saveNote(SELF, out.u8(self.isVoting() ? 1 : 0).done());
+        log.sync();
+    }
+
+    @Override
+    public void persistAndFlushInitialGroupMembers(RaftGroupMembersView first) throws IOException {
+        log.saveNote(FIRST, Codec.view(first));
+        log.sync();
+    }
+
+    @Override
+    public void persistAndFlushTerm(RaftTermPersistentState term) throws IOException {
+        log.saveTerm(term.getTerm(), term.getVotedFor() == null ? "" : term.getVotedFor().toString());
+        log.sync();
+    }
+
+    @Override
+    public void persistLogEntries(List<LogEntry> entries) throws IOException {
+        for (LogEntry entry : entries) {
+            log.appendEntry(entry.getIndex(), entry.getTerm(), Codec.entry(entry));
+        }
+    }
+
+    @Override
+    public void persistSnapshotChunk(SnapshotChunk chunk) throws IOException {
+        log.snapshotChunk(chunk.getIndex(), chunk.getTerm(), chunk.getSnapshotChunkIndex(), chunk.getSnapshotChunkCount(),
+                Codec.chunk(chunk));
+    }
+
+    @Override
+    public void truncateLogEntriesFrom(long index) throws IOException {
+        log.truncateFrom(index);
+    }
+
+    @Override
+    public void truncateLogEntriesUntil(long index) throws IOException {
+        log.truncateUntil(index);
+    }
+
+    @Override
+    public void deleteSnapshotChunks(long index, int count) throws IOException {
+        log.dropUnfinishedSnapshot();
+    }
+
+    @Override
+    public void flush() throws IOException {
+        log.sync();
+    }
+}
--- /dev/null
+++ b/src/main/java/calicostream/cluster/raft/VoterNode.java
@@ -0,0 +1,330 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.cluster.raft;
+
+import calicostream.cluster.ClusterException;
+import calicostream.cluster.Entry;
+import calicostream.cluster.Frame;
+import calicostream.cluster.Links;
+import calicostream.cluster.Outcome;
+import calicostream.cluster.Reactor;
+import calicostream.cluster.Replicated;
+import calicostream.cluster.SessionKeeper;
+import calicostream.cluster.Timekeeper;
+import io.microraft.MembershipChangeMode;
+import io.microraft.Ordered;
+import io.microraft.QueryPolicy;
+import io.microraft.RaftConfig;
+import io.microraft.RaftEndpoint;
+import io.microraft.RaftNode;
+import io.microraft.RaftNodeStatus;
+import io.microraft.exception.CannotReplicateException;
+import io.microraft.exception.NotLeaderException;
+import io.microraft.model.message.RaftMessage;
+import io.microraft.persistence.RaftStore;
+import io.microraft.persistence.RestoredRaftState;
+import io.microraft.transport.Transport;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+
+/**
+ * A voter: the consensus library, the replicated machine, and the requests of members. Owned by its reactor's thread, on
+ * which everything here is called. It has no thread, clock, socket, file or randomness of its own, so that a test may
+ * run a whole cluster in virtual time. Once it failed or was stopped it says nothing more; the way back is a new one.
+ */
+public final class VoterNode implements Links.Receiver {
+    /**
+     * @param first the voters that the cluster began with, the same everywhere; a joiner is none of them
+     * @param heartbeatMillis of a leader; of everything else the beat as well
+     * @param missed heartbeats until a leader is doubted
+     * @param electionMillis after which an undecided election begins anew, with a random part
+     * @param queue of proposals that are not yet decided; more are refused
+     * @param snapshotEvery so many entries
+     */
+    public record Settings(Voter self, List<Voter> first, int heartbeatMillis, int missed, int electionMillis, int queue,
+            int snapshotEvery) {
+    }
+
+    /** A change of one voter. */
+    public enum Change { LEARN, PROMOTE, REMOVE }
+
+    private final Settings settings;
+    private final Reactor reactor;
+    private final Links links;
+    private final Replicated state;
+    private final Map<String, Timekeeper> timekeepers;
+    private final SessionKeeper keeper;
+    private final Stepper stepper;
+    private final RaftNode raft;
+    private final Consumer<Throwable> failed;
+    private boolean stopped;
+    private long toldEra;
+    private int proposed;
+    private long freshSince;
+    private boolean fresh;
+    private long nextId;
+    private long askAt;
+    private long askId;
+
+    /**
+     * @param restored what the store held, if this voter has run before
+     * @param timekeepers of the machines, by name
+     * @param failed hears once why this voter stopped by itself
+     */
+    public VoterNode(Settings settings, Reactor reactor, Links links, RaftStore store, Optional<RestoredRaftState> restored,
+            Replicated state, Map<String, Timekeeper> timekeepers, Random random, Consumer<Throwable> failed) {
+        this.settings = settings;
+        this.reactor = reactor;
+        this.links = links;
+        this.state = state;
+        this.timekeepers = timekeepers;
+        this.failed = failed;
+        this.keeper = new SessionKeeper(state, settings.heartbeatMillis * 1_000_000L);
+        this.stepper = new Stepper(settings.self.member(), state, random, this::fail);
+        this.nextId = random.nextLong();
+        Pace pace = new Pace(reactor, settings.heartbeatMillis);
+        RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder().setGroupId(Codec.GROUP)
+                .setConfig(RaftConfig.newBuilder().setLeaderHeartbeatPeriodSecs(1)
+                        .setLeaderHeartbeatTimeoutSecs(settings.missed)
+                        .setLeaderElectionTimeoutMillis(Math.max(100, pace.libraryMillis(settings.electionMillis)))
+                        .setCommitCountToTakeSnapshot(settings.snapshotEvery)
+                        .setMaxPendingLogEntryCount(Math.max(2 * settings.queue, 128))
+                        .setTransferSnapshotsFromFollowersEnabled(false).build())
+                .setExecutor(pace).setClock(pace).setRandom(random).setStore(new FailingStore(store, this::fail))
+                .setStateMachine(stepper).setTransport(new Sender()).setModelFactory(Codec.MODEL);
+        if (restored.isPresent()) {
+            builder.setRestoredState(restored.get());
+        } else {
+            List<RaftEndpoint> first = new ArrayList<>(settings.first);
+            builder.setLocalEndpoint(settings.self).setInitialGroupMembers(first);
+        }
+        this.raft = builder.build();
+    }
+
+    private final class Sender implements Transport {
+        @Override
+        public void send(RaftEndpoint target, RaftMessage message) {
+            if (!stopped) {
+                links.send(((Voter) target).member(), new Frame.Raft(Codec.message(message)).encode());
+            }
+        }
+
+        @Override
+        public boolean isReachable(RaftEndpoint endpoint) {
+            return true;
+        }
+    }
+
+    public void start() {
+        raft.start();
+        beat();
+    }
+
+    /** Silent from now on; what was proposed may still be decided by the others. */
+    public void stop() {
+        if (!stopped) {
+            stopped = true;
+            raft.terminate();
+        }
+    }
+
+    /** This voter is as it was before the failure, and silent: it neither votes nor acknowledges any more. */
+    private void fail(Throwable why) {
+        if (!stopped) {
+            stopped = true;
+            reactor.execute(raft::terminate);
+            failed.accept(why);
+        }
+    }
+
+    public boolean isStopped() {
+        return stopped || RaftNodeStatus.isTerminal(raft.getStatus());
+    }
+
+    /** This voter leads as far as it knows, and its copy has all that its predecessors left. */
+    public boolean leads() {
+        return !stopped && settings.self.equals(raft.getTerm().getLeaderEndpoint()) && stepper.ownEra();
+    }
+
+    /** The leader's member as far as is known here; 0 if not. */
+    public int leader() {
+        Voter leader = (Voter) raft.getTerm().getLeaderEndpoint();
+        return leader == null ? 0 : leader.member();
+    }
+
+    public int term() {
+        return raft.getTerm().getTerm();
+    }
+
+    public Collection<RaftEndpoint> voters() {
+        return raft.getCommittedMembers().getVotingMembers();
+    }
+
+    public Collection<RaftEndpoint> votersAndLearners() {
+        return raft.getCommittedMembers().getMembers();
+    }
+
+    public Replicated state() {
+        return state;
+    }
+
+    /** How many proposals wait for a decision here. */
+    public int proposed() {
+        return proposed;
+    }
+
+    /** How old this copy is at most; empty until a leader was heard of once. */
+    public Optional<Long> ageNanos() {
+        return fresh ? Optional.of(reactor.nanos() - freshSince) : Optional.empty();
+    }
+
+    /** Hands the lead to another voter, for a planned stop. */
+    public void handOver(Voter to) {
+        if (!stopped) {
+            raft.transferLeadership(to);
+        }
+    }
+
+    /**
+     * Changes one voter; only the leader can, one change at a time. {@code done} hears the error, or null once the change
+     * holds.
+     */
+    public void change(Change change, Voter who, Consumer<ClusterException> done) {
+        MembershipChangeMode mode = switch (change) {
+            case LEARN -> MembershipChangeMode.ADD_LEARNER;
+            case PROMOTE -> MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER;
+            case REMOVE -> MembershipChangeMode.REMOVE_MEMBER;
+        };
+        String what = change + " " + who;
+        if (stopped || !leads()) {
+            done.accept(new ClusterException.NotLeader(settings.self.member(), leader(), state.era()));
+            return;
+        }
+        raft.changeMembership(who, mode, raft.getCommittedMembers().getLogIndex()).whenComplete((ok, error) ->
+                done.accept(error == null ? null : new ClusterException.BadChange(what, String.valueOf(error.getMessage()))));
+    }
+
+    private void beat() {
+        if (isStopped()) {
+            return;
+        }
+        long now = reactor.nanos();
+        if (leads()) {
+            if (toldEra != state.era()) {
+                toldEra = state.era();
+                timekeepers.values().forEach(timekeeper -> timekeeper.eraBegan(toldEra, now));
+            }
+            for (Entry.Expire expire : keeper.due(now)) {
+                propose(expire.encode(), outcome -> { });
+            }
+            timekeepers.forEach((name, timekeeper) -> {
+                for (byte[] body : timekeeper.due(now)) {
+                    propose(new Entry.Timed(state.era(), name, body).encode(), outcome -> { });
+                }
+            });
+            read(new Stepper.Question("", new byte[0]), outcome -> fresh(outcome, now));
+        } else if (leader() != 0 && leader() != settings.self.member()) {
+            askAt = now;
+            askId = nextId++;
+            links.send(leader(), new Frame.Request(askId, Frame.Ask.READ, "", new byte[0]).encode());
+        }
+        reactor.schedule(this::beat, settings.heartbeatMillis * 1_000_000L);
+    }
+
+    /** The leader had all up to an index at some moment after {@code sinceNanos}; so has this copy once it got there. */
+    private void fresh(Outcome outcome, long sinceNanos) {
+        if (outcome.accepted() && state.applied() >= outcome.index() && (!fresh || sinceNanos - freshSince > 0)) {
+            fresh = true;
+            freshSince = sinceNanos;
+        }
+    }
+
+    @Override
+    public void received(int from, byte[] bytes) {
+        if (isStopped()) {
+            return;
+        }
+        Frame frame = Frame.decode(bytes);
+        if (frame instanceof Frame.Raft message) {
+            RaftMessage decoded = Codec.message(message.message());
+            if (((Voter) decoded.getSender()).member() == from) {
+                raft.handle(decoded);
+            }
+        } else if (frame instanceof Frame.Request request) {
+            Consumer<Outcome> reply = outcome -> {
+                if (!stopped) {
+                    links.send(from, new Frame.Reply(request.id(), 0, outcome).encode());
+                }
+            };
+            switch (request.ask()) {
+                case ENTRY -> proposeOf(request.body(), reply);
+                case READ -> read(new Stepper.Question(request.machine(), request.body()), reply);
+                case LOCAL -> local(from, request);
+            }
+        } else if (frame instanceof Frame.Reply reply && reply.id() == askId) {
+            fresh(reply.outcome(), askAt);
+        }
+    }
+
+    private void local(int from, Frame.Request request) {
+        Optional<Long> age = ageNanos();
+        Outcome outcome = !state.knows(request.machine()) ? Outcome.failed(0, ClusterException.UnknownMachine.CODE)
+                : age.isEmpty() ? Outcome.failed(0, ClusterException.NoQuorum.CODE, settings.self.member(), 0)
+                : new Outcome(Outcome.Kind.ACCEPTED, state.applied(), "", state.query(request.machine(), request.body()));
+        links.send(from, new Frame.Reply(request.id(), age.orElse(0L), outcome).encode());
+    }
+
+    private void proposeOf(byte[] bytes, Consumer<Outcome> reply) {
+        Entry entry;
+        try {
+            entry = Entry.decode(bytes);
+        } catch (ClusterException.Malformed e) {
+            reply.accept(Outcome.failed(0, e.code()));
+            return;
+        }
+        if (entry.ofLeader()) {
+            reply.accept(Outcome.failed(0, ClusterException.Malformed.CODE));
+        } else if (entry instanceof Entry.Run run && !state.knows(run.machine())) {
+            reply.accept(Outcome.failed(0, ClusterException.UnknownMachine.CODE));
+        } else {
+            propose(bytes, reply);
+        }
+    }
+
+    private void propose(byte[] entry, Consumer<Outcome> reply) {
+        if (proposed >= settings.queue) {
+            reply.accept(Outcome.failed(0, ClusterException.QueueFull.CODE, settings.self.member(), proposed, settings.queue));
+            return;
+        }
+        proposed++;
+        CompletableFuture<Ordered<Outcome>> decided = raft.replicate(entry);
+        decided.whenComplete((ok, error) -> {
+            proposed--;
+            reply.accept(error == null ? ok.getResult() : failure(error));
+        });
+    }
+
+    private void read(Stepper.Question question, Consumer<Outcome> reply) {
+        if (!question.machine().isEmpty() && !state.knows(question.machine())) {
+            reply.accept(Outcome.failed(0, ClusterException.UnknownMachine.CODE));
+            return;
+        }
+        CompletableFuture<Ordered<Outcome>> answered =
+                raft.query(question, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty());
+        answered.whenComplete((ok, error) -> reply.accept(error == null ? ok.getResult() : failure(error)));
+    }
+
+    private Outcome failure(Throwable error) {
+        if (error instanceof NotLeaderException) {
+            return Outcome.failed(0, ClusterException.NotLeader.CODE, settings.self.member(), leader(), state.era());
+        } else if (error instanceof CannotReplicateException) {
+            return Outcome.failed(0, ClusterException.QueueFull.CODE, settings.self.member(), proposed, settings.queue);
+        }
+        return Outcome.failed(0, ClusterException.Unsure.CODE, settings.self.member(), 0, 0);
+    }
+}
