Cluster: what breaks inside the library's calls fails a simulated run

Need: the library catches what its callbacks throw, so a fault of ours could pass unseen. Change: the simulation takes every such throw for a failure.

--- a/src/test/java/calicostream/cluster/sim/Lists.java
+++ b/src/test/java/calicostream/cluster/sim/Lists.java
@@ -14,10 +14,12 @@
 final class Lists implements Machine {
     static final int KEYS = 3;
     private final BiConsumer<Long, String> heard;
+    private final Runnable restored;
     private final List<List<Long>> lists = new ArrayList<>();
 
-    Lists(BiConsumer<Long, String> heard) {
+    Lists(BiConsumer<Long, String> heard, Runnable restored) {
         this.heard = heard;
+        this.restored = restored;
         for (int i = 0; i < KEYS; i++) {
             lists.add(new ArrayList<>());
         }
@@ -85,6 +87,7 @@
 
     @Override
     public void restore(byte[] snapshot) {
+        restored.run();
         Bytes.Reader in = new Bytes.Reader("lists", snapshot);
         for (int key = 0; key < KEYS; key++) {
             lists.set(key, list(in.blob(1 << 24)));
--- a/src/test/java/calicostream/cluster/sim/SimCluster.java
+++ b/src/test/java/calicostream/cluster/sim/SimCluster.java
@@ -32,13 +32,14 @@
     private static final int QUEUE = 16;
     private static final int MEMBER_QUEUE = 4;
     private static final int TTL = 1500;
+    static final int FAULT_MILLIS = 12_000;
 
     /** Safeguards that can be taken out, to show that the checks find it. */
     enum Mutant { RETRY_WITHOUT_NUMBER, VOTE_AFTER_AMNESIA, SYNC_LIES, LATE_COUNT }
 
     /** What a run came to; {@code fault} is empty if every check held. */
     record Result(long seed, String fault, long hash, long steps, long acknowledged, int eras, Map<Faults.Kind, Integer> faults,
-            int changes, int snapshots) {
+            int changes, int expired, int restored) {
     }
 
     private static final class Broken extends RuntimeException {
@@ -69,7 +70,7 @@
         }
 
         void startVoter() {
-            lists = new Lists((index, what) -> applied(process.member, index, what));
+            lists = new Lists((index, what) -> applied(process.member, index, what), () -> restored++);
             Optional<io.microraft.persistence.RestoredRaftState> restored = StoreOnLog.restored(log.found());
             voter = new VoterNode(new VoterNode.Settings(name(), first, 50, 5, 200, QUEUE, 40), process,
                     (to, frame) -> send(process.member, to, frame), new StoreOnLog(log), restored,
@@ -78,8 +79,8 @@
         }
 
         void failed(Throwable why) {
-            if (!log.fails) {
-                throw new Broken("voter " + name() + " stopped by itself: " + why);
+            if (!log.fails && broken == null) {
+                broken = new Broken("voter " + name() + " stopped by itself: " + why);
             }
         }
 
@@ -128,10 +129,6 @@
             Frame frame = Frame.decode(bytes);
             world.trace("received " + process.member, bytes);
             if (frame instanceof Frame.Reply reply && member != null) {
-                if (System.getProperty("sim.talk") != null) {
-                    System.out.println(world.now() / MILLI + " " + process.member + " from " + from + ": " + reply.outcome().kind()
-                            + " " + reply.outcome().code());
-                }
                 member.received(from, reply, process.nanos());
             }
             if (voter != null) {
@@ -161,7 +158,8 @@
     private long values;
     private long acknowledged;
     private int changes;
-    private boolean changing;
+    private int restored;
+    private Broken broken;
 
     SimCluster(long seed, Set<Mutant> mutants) {
         this.seed = seed;
@@ -184,7 +182,7 @@
     }
 
     static Result run(long seed, Set<Mutant> mutants) {
-        return run(seed, mutants, Faults.draw(seed, 12_000));
+        return run(seed, mutants, Faults.draw(seed, FAULT_MILLIS));
     }
 
     static Result run(long seed, Set<Mutant> mutants, List<Faults.Fault> faults) {
@@ -228,7 +226,7 @@
                 hosts.forEach(host -> System.out.println(host.name() + " " + host.voter));
             }
         }
-        return new Result(seed, fault, world.hash(), world.steps, acknowledged, leaders.size(), done, changes, 0);
+        return new Result(seed, fault, world.hash(), world.steps, acknowledged, leaders.size(), done, changes, expired.size(), restored);
     }
 
     private Host host(int member) {
@@ -298,12 +296,16 @@
     private void applied(int member, long index, String what) {
         String before = log.putIfAbsent(index, what);
         if (before != null && !before.equals(what)) {
-            throw new Broken("member " + member + " applied " + what + " at " + index + ", another " + before);
+            // Not thrown here: the library and the voter catch what comes out of a machine.
+            broken = new Broken("member " + member + " applied " + what + " at " + index + ", another " + before);
         }
         world.trace(what, member, index);
     }
 
     private void check(World.Process process) {
+        if (broken != null) {
+            throw broken;
+        }
         Host host = host(process.member);
         if (host.member != null && host.member.waiting() > MEMBER_QUEUE + 1) {
             throw new Broken("a member's queue grew to " + host.member.waiting());
