--- a/src/main/java/calicostream/cluster/raft/VoterNode.java
+++ b/src/main/java/calicostream/cluster/raft/VoterNode.java
@@ -19,7 +19,9 @@
 import io.microraft.RaftNodeStatus;
 import io.microraft.exception.CannotReplicateException;
 import io.microraft.exception.NotLeaderException;
+import io.microraft.model.message.PreVoteRequest;
 import io.microraft.model.message.RaftMessage;
+import io.microraft.model.message.VoteRequest;
 import io.microraft.persistence.RaftStore;
 import io.microraft.persistence.RestoredRaftState;
 import io.microraft.transport.Transport;
@@ -109,7 +111,8 @@
     private final class Sender implements Transport {
         @Override
         public void send(RaftEndpoint target, RaftMessage message) {
-            if (!stopped) {
+            boolean asksForVotes = message instanceof VoteRequest || message instanceof PreVoteRequest;
+            if (!stopped && (!asksForVotes || mayLead())) {
                 links.send(((Voter) target).member(), new Frame.Raft(Codec.message(message)).encode());
             }
         }
@@ -120,6 +123,14 @@
         }
     }
 
+    /**
+     * The library lets a voter stand whose own log says that it was removed, and counts its own vote into a majority of
+     * the others: two leaders of one term. So who is not among the voters asks nobody.
+     */
+    private boolean mayLead() {
+        return raft.getEffectiveMembers().getVotingMembers().contains(settings.self);
+    }
+
     public void start() {
         raft.start();
         beat();
@@ -205,6 +216,14 @@
             done.accept(new ClusterException.NotLeader(settings.self.member(), leader(), state.era()));
             return;
         }
+        Collection<RaftEndpoint> voters = raft.getEffectiveMembers().getVotingMembers();
+        if (change == Change.REMOVE && who.equals(settings.self)) {
+            done.accept(new ClusterException.BadChange(what, "it leads, let it hand over first"));
+            return;
+        } else if (change == Change.REMOVE && voters.contains(who) && voters.size() <= 2) {
+            done.accept(new ClusterException.BadChange(what, "too few voters would be left, add one first"));
+            return;
+        }
         raft.changeMembership(who, mode, raft.getCommittedMembers().getLogIndex()).whenComplete((ok, error) ->
                 done.accept(error == null ? null : new ClusterException.BadChange(what, String.valueOf(error.getMessage()))));
     }
