--- a/src/main/java/calicostream/cluster/raft/StoreOnLog.java
+++ b/src/main/java/calicostream/cluster/raft/StoreOnLog.java
@@ -2,6 +2,8 @@
 package calicostream.cluster.raft;
 
 import calicostream.cluster.Bytes;
+import calicostream.durable.DurableLog;
+import calicostream.durable.Recovered;
 import io.microraft.model.log.LogEntry;
 import io.microraft.model.log.RaftGroupMembersView;
 import io.microraft.model.log.SnapshotChunk;
@@ -13,35 +15,23 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.SortedMap;
 
 /**
- * The library's store over a {@link VoterLog}; one thread, no state of its own. Every call that the library says is to
+ * The library's store over a {@link DurableLog}; one thread, no state of its own. Every call that the library says is to
  * be flushed syncs before it returns.
  */
 public final class StoreOnLog implements RaftStore {
     private static final String SELF = "self";
     private static final String FIRST = "first-voters";
 
-    /**
-     * What a log held when it was opened.
-     *
-     * @param term 0 if none was saved
-     * @param votedFor empty for no vote
-     * @param snapshot its chunks in order, empty if there is none
-     */
-    public record Found(SortedMap<String, byte[]> notes, long term, String votedFor, List<byte[]> snapshot,
-            List<byte[]> entries) {
-    }
-
-    private final VoterLog log;
+    private final DurableLog log;
 
-    public StoreOnLog(VoterLog log) {
+    public StoreOnLog(DurableLog log) {
         this.log = log;
     }
 
     /** Empty if the log has never been a voter's. */
-    public static Optional<RestoredRaftState> restored(Found found) {
+    public static Optional<RestoredRaftState> restored(Recovered found) {
         byte[] self = found.notes().get(SELF);
         byte[] first = found.notes().get(FIRST);
         if (self == null || first == null) {
@@ -53,12 +43,14 @@
         RaftTermPersistentState term = Codec.MODEL.createRaftTermPersistentStateBuilder().setTerm((int) found.term())
                 .setVotedFor(voted(found.votedFor())).build();
         List<SnapshotChunk> chunks = new ArrayList<>();
-        found.snapshot().forEach(bytes -> chunks.add(Codec.chunk(bytes)));
+        if (found.snapshot() != null) {
+            found.snapshot().chunks().forEach(bytes -> chunks.add(Codec.chunk(bytes)));
+        }
         var snapshot = chunks.isEmpty() ? null : Codec.MODEL.createSnapshotEntryBuilder().setIndex(chunks.get(0).getIndex())
                 .setTerm(chunks.get(0).getTerm()).setSnapshotChunks(chunks)
                 .setGroupMembersView(chunks.get(0).getGroupMembersView()).build();
         List<LogEntry> entries = new ArrayList<>();
-        found.entries().forEach(bytes -> entries.add(Codec.entry(bytes)));
+        found.entries().forEach(entry -> entries.add(Codec.entry(entry.bytes())));
         return Optional.of(new RestoredRaftState(me, Codec.view(first), term, snapshot, entries));
     }
 
--- a/src/test/java/calicostream/cluster/sim/SimCluster.java
+++ b/src/test/java/calicostream/cluster/sim/SimCluster.java
@@ -71,7 +71,7 @@
 
         void startVoter() {
             lists = new Lists((index, what) -> applied(process.member, index, what), () -> restored++);
-            Optional<io.microraft.persistence.RestoredRaftState> restored = StoreOnLog.restored(log.found());
+            Optional<io.microraft.persistence.RestoredRaftState> restored = StoreOnLog.restored(log.recovered());
             voter = new VoterNode(new VoterNode.Settings(name(), first, 50, 5, 200, QUEUE, 40), process,
                     (to, frame) -> send(process.member, to, frame), new StoreOnLog(log), restored,
                     new Replicated(Map.of("lists", lists)), Map.of(), new Random(world.random.nextLong()), this::failed);
--- a/src/test/java/calicostream/cluster/sim/SimLog.java
+++ b/src/test/java/calicostream/cluster/sim/SimLog.java
@@ -1,9 +1,10 @@
 // SPDX-License-Identifier: Apache-2.0
 package calicostream.cluster.sim;
 
-import calicostream.cluster.raft.StoreOnLog;
-import calicostream.cluster.raft.VoterLog;
-import java.io.IOException;
+import calicostream.durable.DurableException;
+import calicostream.durable.DurableLog;
+import calicostream.durable.Recovered;
+import calicostream.durable.Status;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -11,7 +12,7 @@
 import java.util.TreeMap;
 
 /** A voter's log in memory whose crash keeps what was synced and a random prefix of what was not. */
-final class SimLog implements VoterLog {
+final class SimLog implements DurableLog {
     /** What is on the disk. */
     private static final class State {
         final SortedMap<String, byte[]> notes = new TreeMap<>();
@@ -37,8 +38,12 @@
     /** The next sync fails, and everything after it. */
     boolean fails;
 
-    StoreOnLog.Found found() {
-        return new StoreOnLog.Found(disk.notes, disk.term, disk.voted, disk.snapshot, new ArrayList<>(disk.entries.values()));
+    @Override
+    public Recovered recovered() {
+        List<Recovered.Entry> entries = new ArrayList<>();
+        disk.entries.forEach((index, bytes) -> entries.add(new Recovered.Entry(index, 0, bytes)));
+        return new Recovered(disk.term, disk.voted, disk.notes, disk.snapshot.isEmpty() ? null
+                : new Recovered.Snapshot(disk.snapshotIndex, 0, disk.snapshot), entries, null, List.of());
     }
 
     void crash(Random random) {
@@ -54,9 +59,9 @@
         next = Math.max(snapshot, disk.entries.isEmpty() ? 0 : disk.entries.lastKey()) + 1;
     }
 
-    private void write(Write write) throws IOException {
+    private void write(Write write) throws DurableException {
         if (fails) {
-            throw new IOException("disk fails");
+            throw new DurableException.Failed("disk fails", null);
         }
         unsynced.add(write);
     }
@@ -68,28 +73,28 @@
     }
 
     @Override
-    public void appendEntry(long index, long term, byte[] bytes) throws IOException {
+    public void appendEntry(long index, long term, byte[] bytes) throws DurableException {
         require(index == next, "entry " + index + ", next is " + next);
         write(state -> state.entries.put(index, bytes));
         next++;
     }
 
     @Override
-    public void truncateFrom(long index) throws IOException {
+    public void truncateFrom(long index) throws DurableException {
         require(index > snapshot, "truncates from " + index + ", snapshot is at " + snapshot);
         write(state -> state.entries.tailMap(index, true).clear());
         next = Math.min(next, index);
     }
 
     @Override
-    public void truncateUntil(long index) throws IOException {
+    public void truncateUntil(long index) throws DurableException {
         require(index <= snapshot, "truncates until " + index + ", snapshot is at " + snapshot);
         write(state -> state.entries.headMap(index, true).clear());
         next = Math.max(next, index + 1);
     }
 
     @Override
-    public void saveTerm(long term, String votedFor) throws IOException {
+    public void saveTerm(long term, String votedFor) throws DurableException {
         write(state -> {
             require(term > state.term || term == state.term && (state.voted.isEmpty() || state.voted.equals(votedFor)),
                     "term " + term + " vote " + votedFor + " after " + state.term + " " + state.voted);
@@ -99,12 +104,12 @@
     }
 
     @Override
-    public void saveNote(String name, byte[] value) throws IOException {
+    public void saveNote(String name, byte[] value) throws DurableException {
         write(state -> state.notes.put(name, value));
     }
 
     @Override
-    public void snapshotChunk(long index, long term, int chunk, int of, byte[] bytes) throws IOException {
+    public void snapshotChunk(long index, long term, int chunk, int of, byte[] bytes) throws DurableException {
         if (chunk == of - 1) {
             snapshot = index;
             next = Math.max(next, index + 1);
@@ -124,18 +129,37 @@
     }
 
     @Override
-    public void dropUnfinishedSnapshot() throws IOException {
+    public void dropUnfinishedSnapshot() throws DurableException {
         write(state -> state.unfinished.clear());
     }
 
     @Override
-    public void sync() throws IOException {
+    public void sync() throws DurableException {
         if (fails) {
-            throw new IOException("disk fails");
+            throw new DurableException.Failed("disk fails", null);
         }
         if (!lies) {
             unsynced.forEach(write -> write.to(disk));
             unsynced.clear();
         }
     }
+
+    @Override
+    public void bar(String why) {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void admit() {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public Status status() {
+        throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void close() {
+    }
 }
