--- a/src/main/java/calicostream/cluster/raft/VoterNode.java
+++ b/src/main/java/calicostream/cluster/raft/VoterNode.java
@@ -2,6 +2,7 @@
 package calicostream.cluster.raft;
 
 import calicostream.cluster.ClusterException;
+import calicostream.cluster.Command;
 import calicostream.cluster.Entry;
 import calicostream.cluster.Frame;
 import calicostream.cluster.Links;
@@ -52,6 +53,9 @@
             int snapshotEvery) {
     }
 
+    /** Entries of one append: of the largest ones, half a frame. */
+    private static final int BATCH = Links.MAX_FRAME / (2 * Command.MAX_BODY) / 2;
+
     /** A change of one voter. */
     public enum Change { LEARN, PROMOTE, REMOVE }
 
@@ -93,6 +97,7 @@
         RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder().setGroupId(Codec.GROUP)
                 .setConfig(RaftConfig.newBuilder().setLeaderHeartbeatPeriodSecs(1)
                         .setLeaderHeartbeatTimeoutSecs(settings.missed)
+                        .setAppendEntriesRequestBatchSize(BATCH)
                         .setLeaderElectionTimeoutMillis(Math.max(100, pace.libraryMillis(settings.electionMillis)))
                         .setCommitCountToTakeSnapshot(settings.snapshotEvery)
                         .setMaxPendingLogEntryCount(Math.max(2 * settings.queue, 128))
--- /dev/null
+++ b/src/main/java/calicostream/cluster/tcp/LoopReactor.java
@@ -0,0 +1,31 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.cluster.tcp;
+
+import calicostream.cluster.Reactor;
+import calicostream.net.Loop;
+
+/** A loop as the thread and clock of a voter or member. {@link #execute} may be called by any thread. */
+public final class LoopReactor implements Reactor {
+    private final Loop loop;
+
+    public LoopReactor(Loop loop) {
+        this.loop = loop;
+    }
+
+    @Override
+    public long nanos() {
+        return System.nanoTime();
+    }
+
+    @Override
+    public void execute(Runnable task) {
+        loop.post(task);
+    }
+
+    /** A task may ask for itself again with no delay; the loop's other work has its turn in between. */
+    @Override
+    public void schedule(Runnable task, long delayNanos) {
+        long at = loop.clock().now() + Math.max(1, (delayNanos + 999) / 1000);
+        loop.post(() -> loop.deadlines().add(at, (now, ref) -> task.run(), 0));
+    }
+}
