Cluster: the simulation runs on the durable log's own code over disks in memory

Need: the simulation had a log of its own, so the real one's faults were not played. Change: simulated voters write the durable log over disks in memory.

--- a/src/test/java/calicostream/cluster/sim/SimCluster.java
+++ b/src/test/java/calicostream/cluster/sim/SimCluster.java
@@ -12,7 +12,13 @@
 import calicostream.cluster.raft.StoreOnLog;
 import calicostream.cluster.raft.Voter;
 import calicostream.cluster.raft.VoterNode;
+import calicostream.durable.Amnesia;
+import calicostream.durable.DurableException;
+import calicostream.durable.DurableLog;
+import calicostream.durable.Identity;
+import calicostream.durable.Options;
 import io.microraft.RaftEndpoint;
+import io.microraft.persistence.RestoredRaftState;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.EnumMap;
@@ -53,16 +59,24 @@
     private final class Host implements Links.Receiver {
         final World.Process process;
         int generation;
-        SimLog log = new SimLog();
+        SimDisk disk;
+        SimDisk marks;
         VoterNode voter;
         Lists lists;
         boolean runsVoter;
         boolean down;
         MemberSession member;
-        int marks;
+        int lives;
 
         Host(int id) {
             process = world.new Process(id);
+            newDisks();
+        }
+
+        void newDisks() {
+            disk = new SimDisk("disk of " + name());
+            marks = new SimDisk("marks of " + name());
+            disk.lies = marks.lies = mutants.contains(Mutant.SYNC_LIES);
         }
 
         Voter name() {
@@ -71,7 +85,17 @@
 
         void startVoter() {
             lists = new Lists((index, what) -> applied(process.member, index, what), () -> restored++);
-            Optional<io.microraft.persistence.RestoredRaftState> restored = StoreOnLog.restored(log.recovered());
+            DurableLog log;
+            try {
+                log = DurableLog.open(disk, marks, new Identity("sim", name().toString()),
+                        new Options(1 << 14, 1_000_000_000L, false, process::nanos));
+            } catch (DurableException e) {
+                throw new Broken(name() + " does not open its log: " + e);
+            }
+            if (log.recovered().own().doubt() != Amnesia.Doubt.NONE && mutants.isEmpty()) {
+                throw new Broken(name() + " doubts an honest disk: " + log.recovered().own());
+            }
+            Optional<RestoredRaftState> restored = StoreOnLog.restored(log.recovered());
             voter = new VoterNode(new VoterNode.Settings(name(), first, 50, 5, 200, QUEUE, 40), process,
                     (to, frame) -> send(process.member, to, frame), new StoreOnLog(log), restored,
                     new Replicated(Map.of("lists", lists)), Map.of(), new Random(world.random.nextLong()), this::failed);
@@ -79,13 +103,13 @@
         }
 
         void failed(Throwable why) {
-            if (!log.fails && broken == null) {
+            if (!disk.fails && broken == null) {
                 broken = new Broken("voter " + name() + " stopped by itself: " + why);
             }
         }
 
         void startMember() {
-            long mark = ((long) process.member << 40) + ((long) ++marks << 32);
+            long mark = ((long) process.member << 40) + ((long) ++lives << 32);
             member = new MemberSession(new MemberSession.Settings(process.member, TTL, 150, MEMBER_QUEUE), voterIds, mark);
             tick();
             load();
@@ -110,7 +134,8 @@
             process.life++;
             process.stoppedUntil = 0;
             if (runsVoter) {
-                log.crash(world.random);
+                disk.crash(world.random);
+                marks.crash(world.random);
                 voter = null;
             }
             member = null;
@@ -177,7 +202,6 @@
             if (id <= voters + 2) {
                 voterIds.add(id);
             }
-            host.log.lies = mutants.contains(Mutant.SYNC_LIES);
         }
     }
 
@@ -417,7 +441,7 @@
             }
             case DISK_FAILS -> {
                 if (voter.runsVoter && !voter.down) {
-                    voter.log.fails = true;
+                    voter.disk.fails = true;
                     world.at(until, () -> {
                         if (!voter.down) {
                             voter.crash();
@@ -497,7 +521,7 @@
     private void forget(Host host) {
         if (mutants.contains(Mutant.VOTE_AFTER_AMNESIA)) {
             host.crash();
-            host.log = new SimLog();
+            host.newDisks();
             restart(host, 5);
             return;
         }
@@ -508,8 +532,8 @@
             }
             Voter old = host.name();
             host.crash();
-            host.log = new SimLog();
             host.generation++;
+            host.newDisks();
             host.runsVoter = false;
             restart(host, 50);
             if (leader.voter.votersAndLearners().contains(old)) {
@@ -526,7 +550,7 @@
         slowest = 3;
         for (Host host : hosts) {
             host.process.stoppedUntil = 0;
-            if (host.log.fails && !host.down) {
+            if (host.disk.fails && !host.down) {
                 host.crash();
             }
             if (host.down) {
