--- a/src/main/java/calicostream/cluster/raft/VoterNode.java
+++ b/src/main/java/calicostream/cluster/raft/VoterNode.java
@@ -145,6 +145,13 @@
     public void stop() {
         if (!stopped) {
             stopped = true;
+            end();
+        }
+    }
+
+    /** Who was removed has ended by itself, and the library takes no second end. */
+    private void end() {
+        if (!RaftNodeStatus.isTerminal(raft.getStatus())) {
             raft.terminate();
         }
     }
@@ -153,7 +160,7 @@
     private void fail(Throwable why) {
         if (!stopped) {
             stopped = true;
-            reactor.execute(raft::terminate);
+            reactor.execute(this::end);
             failed.accept(why);
         }
     }
@@ -233,6 +240,30 @@
                 done.accept(error == null ? null : new ClusterException.BadChange(what, String.valueOf(error.getMessage()))));
     }
 
+    /**
+     * Takes the next step towards these voters, if this voter leads and there is one; called again until
+     * {@link #voters()} are the wanted ones. {@code done} hears of a step as with {@link #change}.
+     */
+    public void towards(Collection<Voter> wanted, Consumer<ClusterException> done) {
+        if (!leads()) {
+            done.accept(new ClusterException.NotLeader(settings.self.member(), leader(), state.era()));
+            return;
+        }
+        List<Voter> voters = new ArrayList<>();
+        voters().forEach(voter -> voters.add((Voter) voter));
+        List<Voter> learners = new ArrayList<>();
+        votersAndLearners().forEach(voter -> learners.add((Voter) voter));
+        learners.removeAll(voters);
+        VoterPlan.next(wanted, voters, learners, settings.self).ifPresent(step -> {
+            switch (step.kind()) {
+                case LEARN -> change(Change.LEARN, step.who(), done);
+                case PROMOTE -> change(Change.PROMOTE, step.who(), done);
+                case REMOVE -> change(Change.REMOVE, step.who(), done);
+                case HAND_OVER -> handOver(step.who());
+            }
+        });
+    }
+
     private void beat() {
         if (isStopped()) {
             return;
