Leases: machine, holder, leader's watch and fence, and a model checker over them

Fleet-wide tasks need one holder at a time whatever processes, links and clocks do. The machine grants first come, first served, with a token that only grows; time reaches it as commands of the leader, which waits out a whole time to live from the start of its era; a holder counts from before it asked and may act only by the log or at a resource that checks the token.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,5 @@
 .PHONY: build test lint run measure-flight measure-mass measure-deployments measure-durable
+.PHONY: build test lint run measure-flight measure-mass measure-durable prove-lease
 
 build:
 	mvn -q -DskipTests package
@@ -36,3 +37,8 @@
 measure-durable:
 	mvn -q -DskipTests package dependency:copy-dependencies -DincludeScope=test -DoutputDirectory=target/test-lib
 	timeout 55 java -cp 'target/classes:target/test-classes:target/test-lib/*' calicostream.durable.DurableMeasure $(SEED) $(FOLDER)
+
+# The states of small worlds of leases, with every safeguard in place and without each; the last line holds the figures. SEED; N: the most states of a model.
+prove-lease:
+	mvn -q -DskipTests package dependency:copy-dependencies -DincludeScope=test -DoutputDirectory=target/test-lib
+	timeout 600 java -Xmx1g -cp 'target/classes:target/test-classes:target/test-lib/*' calicostream.measure.ProveMeasure $(or $(SEED),1) $(or $(N),3000000)
--- /dev/null
+++ b/src/measure/java/calicostream/lease/VoterModel.java
@@ -0,0 +1,261 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.lease;
+
+import calicostream.cluster.Command;
+import calicostream.cluster.Effects;
+import calicostream.prove.Model;
+import calicostream.prove.Mutant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Three voters and their logs, as far as amnesia needs them: a vote and a copy of the log are one step each, any voter stands at any
+ * time, leaders that are out of date go on until they hear better, and a voter forgets everything. What a majority holds is applied by
+ * the product's {@link LeaseMachine}. With the safeguard, one who forgot is a learner until a leader has every other voter's word at its
+ * own term, as a change of voters would need.
+ *
+ * <p>Promise: no token is given to two sessions, and none is lost. Assumed: no second voter forgets before the first is back.
+ */
+public final class VoterModel implements Model {
+    /** Bounds: terms, entries of a log, voters that forget, and how many of the commands there are, 1 to 6. */
+    public record Scope(int terms, int entries, int forgets, int commands) { }
+
+    // A state: what the judge knows, how many may forget yet, then each voter.
+    private static final int GIVEN = 0; // Session that token 1, 2, 3 were given to.
+    private static final int TOKENS = 3;
+    private static final int LEFT = 3;
+    private static final int HELD = 4; // The longest log that a majority was known to hold.
+    private static final int HEAD = 5;
+    private static final int VOTERS = 3;
+    private static final int TERM = 0;
+    private static final int VOTED = 1; // 0 nobody
+    private static final int ROLE = 2; // 0 follows, 1 stands, 2 leads, 3 learns
+    private static final int VOTES = 3; // Bits, while it stands.
+    private static final int ACKED = 4; // By each voter, while it leads.
+    private static final int LENGTH = 7;
+    private static final int LOG = 8; // term << 4 | command
+
+    private static final int FOLLOWS = 0;
+    private static final int STANDS = 1;
+    private static final int LEADS = 2;
+    private static final int LEARNS = 3;
+
+    private static final int NOTHING = 0; // Commands: 1, 2 sessions acquire, 3, 4 they release token 1, 5, 6 token 2
+    private static final String[] WORDS = {" stands for leader", " gives its vote to voter ", " leads and logs", " is sent the log of voter ",
+        " learns that a majority holds its log", " loses its memory", " is let vote again by voter ", " starts again"};
+
+    private final Scope scope;
+    private final Parts parts;
+    private final int each;
+    private final Map<String, byte[]> given = new HashMap<>();
+
+    public VoterModel(Scope scope, Mutant without) {
+        this.scope = scope;
+        parts = new Parts(without, Limits.STANDARD, Drift.BOUND);
+        each = LOG + scope.entries;
+    }
+
+    @Override
+    public String name() {
+        return "voters that forget";
+    }
+
+    @Override
+    public List<byte[]> initial() {
+        byte[] s = new byte[HEAD + VOTERS * each];
+        s[LEFT] = (byte) scope.forgets;
+        return List.of(s);
+    }
+
+    @Override
+    public String describe(int action) {
+        int kind = action >> 6;
+        int v = 1 + (action >> 4 & 3);
+        int more = action & 15;
+        String command = more == NOTHING ? " nothing" : more <= 2 ? " that session " + more + " acquires"
+                : " that session " + (2 - more % 2) + " releases token " + (more - 1) / 2;
+        return "voter " + v + WORDS[kind] + (kind == 1 || kind == 3 || kind == 6 ? more + 1 : kind == 2 ? command : "");
+    }
+
+    @Override
+    public void steps(byte[] s, Steps to) {
+        for (int v = 0; v < VOTERS; v++) {
+            int at = HEAD + v * each;
+            if (s[at + ROLE] != LEARNS && s[at + ROLE] != LEADS && s[at + TERM] < scope.terms) {
+                byte[] n = s.clone();
+                n[at + TERM]++;
+                n[at + VOTED] = (byte) (v + 1);
+                n[at + ROLE] = STANDS;
+                n[at + VOTES] = (byte) (1 << v);
+                to.to(action(0, v, 0), n);
+            }
+            if (s[at + ROLE] == LEADS) {
+                leads(v, at, s, to);
+            }
+            for (int other = 0; other < VOTERS; other++) {
+                if (other != v && s[HEAD + other * each + ROLE] == STANDS) {
+                    vote(v, at, other, s, to);
+                }
+            }
+            faults(v, at, s, to);
+        }
+    }
+
+    private void vote(int v, int at, int other, byte[] s, Steps to) {
+        int of = HEAD + other * each;
+        boolean free = s[at + TERM] < s[of + TERM] || s[at + TERM] == s[of + TERM] && s[at + VOTED] == 0;
+        if (s[at + ROLE] == LEARNS || !free || last(s, at) > last(s, of) || last(s, at) == last(s, of) && s[at + LENGTH] > s[of + LENGTH]) {
+            return;
+        }
+        byte[] n = s.clone();
+        follow(n, at, s[of + TERM]);
+        n[at + VOTED] = (byte) (other + 1);
+        n[of + VOTES] |= (byte) (1 << v);
+        n[of + ROLE] = LEADS; // With its own, two of three.
+        n[of + VOTES] = 0;
+        n[of + ACKED] = n[of + ACKED + 1] = n[of + ACKED + 2] = 0;
+        to.to(action(1, v, other), n);
+    }
+
+    private int last(byte[] s, int at) {
+        return s[at + LENGTH] == 0 ? 0 : s[at + LOG + s[at + LENGTH] - 1] >> 4;
+    }
+
+    private void follow(byte[] n, int at, int term) {
+        if (n[at + TERM] < term) {
+            n[at + TERM] = (byte) term;
+            n[at + VOTED] = 0;
+        }
+        if (n[at + ROLE] != LEARNS) {
+            n[at + ROLE] = FOLLOWS;
+        }
+        n[at + VOTES] = n[at + ACKED] = n[at + ACKED + 1] = n[at + ACKED + 2] = 0;
+    }
+
+    private void leads(int v, int at, byte[] s, Steps to) {
+        if (s[at + LENGTH] < scope.entries) {
+            for (int command = NOTHING; command <= scope.commands; command++) {
+                byte[] n = s.clone();
+                n[at + LOG + n[at + LENGTH]++] = (byte) (s[at + TERM] << 4 | command);
+                to.to(action(2, v, command), n);
+            }
+        }
+        int holders = 1;
+        for (int other = 0; other < VOTERS; other++) {
+            int of = HEAD + other * each;
+            if (other == v) {
+                continue;
+            }
+            if (s[of + TERM] <= s[at + TERM]) {
+                byte[] n = s.clone();
+                follow(n, of, s[at + TERM]);
+                System.arraycopy(s, at + LENGTH, n, of + LENGTH, each - LENGTH);
+                n[at + ACKED + other] = s[of + ROLE] == LEARNS ? s[at + ACKED + other] : s[at + LENGTH];
+                to.to(action(3, other, v), n);
+            }
+            holders += s[at + ACKED + other] == s[at + LENGTH] ? 1 : 0;
+        }
+        if (holders >= 2 && last(s, at) == s[at + TERM]) {
+            commit(v, at, s, to);
+        }
+    }
+
+    private void commit(int v, int at, byte[] s, Steps to) {
+        byte[] tokens = tokens(s, at);
+        byte[] n = s.clone();
+        for (int i = 0; i < TOKENS; i++) {
+            boolean lost = tokens[i] == 0 && s[at + LENGTH] >= s[HELD]; // A leader out of date knows less, and says nothing wrong.
+            if (s[GIVEN + i] != 0 && tokens[i] != s[GIVEN + i] && (lost || tokens[i] != 0)) {
+                to.broken(action(4, v, 0), "token " + (i + 1) + " was given to session " + s[GIVEN + i]
+                        + (tokens[i] == 0 ? " and is forgotten" : " and is given to session " + tokens[i]));
+                return;
+            }
+            n[GIVEN + i] = (byte) Math.max(s[GIVEN + i], tokens[i]);
+        }
+        n[HELD] = (byte) Math.max(s[HELD], s[at + LENGTH]);
+        to.to(action(4, v, 0), n);
+    }
+
+    /** Whom the machine gives each token to when it applies that voter's log. */
+    private byte[] tokens(byte[] s, int at) {
+        StringBuilder key = new StringBuilder();
+        for (int i = 0; i < s[at + LENGTH]; i++) {
+            key.append((char) (s[at + LOG + i] & 15));
+        }
+        return given.computeIfAbsent(key.toString(), commands -> {
+            LeaseMachine machine = parts.machine(null);
+            byte[] tokens = new byte[TOKENS];
+            for (int i = 0; i < commands.length(); i++) {
+                int command = commands.charAt(i);
+                if (command != NOTHING) {
+                    LeaseCommand said = command <= 2 ? new LeaseCommand.Acquire("task", 2_000_000_000L, true)
+                            : new LeaseCommand.Release("task", (command - 1) / 2);
+                    Effects effects = machine.apply(i + 1, new Command(2 - command % 2, i, 0, said.encode()));
+                    for (Effects.Event event : effects.events()) {
+                        if (LeaseEvent.decode(event) instanceof LeaseEvent.Granted g && g.token() <= TOKENS) {
+                            tokens[(int) g.token() - 1] = (byte) g.session();
+                        }
+                    }
+                }
+            }
+            return tokens;
+        });
+    }
+
+    private void faults(int v, int at, byte[] s, Steps to) {
+        if (s[at + ROLE] != FOLLOWS && s[at + ROLE] != LEARNS) {
+            byte[] n = s.clone();
+            follow(n, at, s[at + TERM]);
+            to.to(action(7, v, 0), n);
+        }
+        boolean learner = false;
+        for (int other = 0; other < VOTERS; other++) {
+            learner |= s[HEAD + other * each + ROLE] == LEARNS;
+        }
+        if (s[LEFT] > 0 && !learner) {
+            byte[] n = s.clone();
+            n[LEFT]--;
+            for (int i = 0; i < each; i++) {
+                n[at + i] = 0;
+            }
+            n[at + ROLE] = (byte) (parts.isOut(Mutant.VOTE_AFTER_AMNESIA) ? FOLLOWS : LEARNS);
+            to.to(action(5, v, 0), n);
+        }
+        if (s[at + ROLE] == LEARNS) {
+            for (int leader = 0; leader < VOTERS; leader++) {
+                if (mayLetVote(s, leader)) {
+                    byte[] n = s.clone();
+                    n[at + ROLE] = FOLLOWS;
+                    n[HEAD + leader * each + ACKED + v] = s[at + LENGTH];
+                    to.to(action(6, v, leader), n);
+                }
+            }
+        }
+    }
+
+    /** All have the leader's log, which ends in its own term, and its term. */
+    private boolean mayLetVote(byte[] s, int leader) {
+        int of = HEAD + leader * each;
+        if (s[of + ROLE] != LEADS || last(s, of) != s[of + TERM]) {
+            return false;
+        }
+        for (int v = 0; v < VOTERS; v++) {
+            int at = HEAD + v * each;
+            if (s[at + TERM] != s[of + TERM]) {
+                return false;
+            }
+            for (int i = LENGTH; i < each; i++) {
+                if (s[at + i] != s[of + i]) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+    private static int action(int kind, int v, int more) {
+        return kind << 6 | v << 4 | more;
+    }
+}
--- /dev/null
+++ b/src/test/java/calicostream/lease/LeaseMachineTest.java
@@ -0,0 +1,176 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.lease;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import calicostream.cluster.ClusterException;
+import calicostream.cluster.Command;
+import calicostream.cluster.Effects;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.HexFormat;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** The machine's rules one by one; random lives and the model checker are elsewhere. */
+class LeaseMachineTest {
+    private static final long S = 1_000_000_000;
+    private static final String TASK = "arbiter";
+    private final LeaseMachine machine = new LeaseMachine();
+    private long index;
+
+    private Effects say(long session, LeaseCommand command) {
+        return machine.apply(++index, new Command(session, index, 0, command.encode()));
+    }
+
+    private LeaseAnswer ask(long session, LeaseCommand command) {
+        Effects effects = say(session, command);
+        assertTrue(effects.accepted(), () -> refusal(effects).facts());
+        return LeaseAnswer.decode(effects.answer());
+    }
+
+    private static LeaseRejection refusal(Effects effects) {
+        assertFalse(effects.accepted());
+        return LeaseRejection.decode(effects.refusal(), effects.answer());
+    }
+
+    private LeaseAnswer acquire(long session) {
+        return ask(session, new LeaseCommand.Acquire(TASK, 2 * S, true));
+    }
+
+    private static List<LeaseEvent> events(Effects effects) {
+        return effects.events().stream().map(LeaseEvent::decode).toList();
+    }
+
+    @Test
+    void whoComesFirstHoldsAndTheOthersFollowInTheirOrder() {
+        assertEquals(new LeaseAnswer.Holds(1), acquire(7));
+        assertEquals(new LeaseAnswer.Waits(1), acquire(8));
+        assertEquals(new LeaseAnswer.Waits(2), acquire(9));
+        assertEquals(new LeaseRejection.AlreadyWaits(TASK, 2), refusal(say(9, new LeaseCommand.Acquire(TASK, S, true))));
+        assertEquals(new LeaseRejection.AlreadyHolds(TASK, 1), refusal(say(7, new LeaseCommand.Acquire(TASK, S, true))));
+        assertEquals(new LeaseRejection.IsHeld(TASK, 1), refusal(say(3, new LeaseCommand.Acquire(TASK, S, false))));
+        assertEquals(List.of(new LeaseEvent.Freed(TASK, 1, LeaseEvent.Why.RELEASED), new LeaseEvent.Granted(TASK, 2, 8)),
+                events(say(7, new LeaseCommand.Release(TASK, 1))));
+        acquire(7);
+        ask(8, new LeaseCommand.Release(TASK, 2));
+        assertTrue(machine.isHolder(TASK, 3) && machine.held().get(0).session() == 9, "who comes back goes to the end");
+    }
+
+    @Test
+    void onlyTheHoldersTokenOpensAnything() {
+        acquire(7);
+        acquire(8);
+        ask(7, new LeaseCommand.Release(TASK, 1));
+        for (LeaseCommand each : List.of(new LeaseCommand.Renew(TASK, 1), new LeaseCommand.Release(TASK, 1), new LeaseCommand.Transfer(TASK, 1, 0),
+                new LeaseCommand.Act(TASK, 1, new byte[3]))) {
+            assertEquals(new LeaseRejection.NotHolder(TASK, 1, 2), refusal(say(7, each)));
+        }
+        assertEquals(new LeaseRejection.NotHolder(TASK, 2, 2), refusal(say(7, new LeaseCommand.Renew(TASK, 2))), "another's token");
+        byte[] payload = {5, 6};
+        LeaseEvent.Acted acted = (LeaseEvent.Acted) events(say(8, new LeaseCommand.Act(TASK, 2, payload))).get(0);
+        assertArrayEquals(payload, acted.payload());
+    }
+
+    @Test
+    void anEndThatARenewalOvertookIsRefused() {
+        acquire(7);
+        ask(7, new LeaseCommand.Renew(TASK, 1));
+        assertEquals(new LeaseRejection.RenewedMeanwhile(TASK, 1, 1), refusal(say(0, new LeaseCommand.Expire(TASK, 1, 0))));
+        assertInstanceOf(LeaseRejection.NotItsToSay.class, refusal(say(8, new LeaseCommand.Expire(TASK, 1, 1))));
+        assertInstanceOf(LeaseRejection.NotItsToSay.class, refusal(say(0, new LeaseCommand.Acquire(TASK, S, true))));
+        ask(0, new LeaseCommand.Expire(TASK, 1, 1));
+        assertEquals(List.of(), machine.held());
+        assertEquals(new LeaseAnswer.Holds(2), acquire(7), "a forgotten lease's token is not given again");
+    }
+
+    @Test
+    void aSessionsEndEndsItsWaitingAndNothingThatItHolds() {
+        acquire(7);
+        acquire(8);
+        acquire(9);
+        machine.sessionEnded(++index, 8);
+        machine.sessionEnded(++index, 7);
+        assertTrue(machine.isHolder(TASK, 1));
+        assertEquals(new LeaseRejection.SessionEnded(TASK, 1), refusal(say(7, new LeaseCommand.Renew(TASK, 1))));
+        ask(0, new LeaseCommand.Expire(TASK, 1, 0));
+        assertEquals(9, machine.held().get(0).session());
+    }
+
+    @Test
+    void aPlannedStopChoosesAmongThoseThatWait() {
+        acquire(7);
+        assertEquals(new LeaseRejection.NoSuccessor(TASK, 0), refusal(say(7, new LeaseCommand.Transfer(TASK, 1, 0))));
+        acquire(8);
+        acquire(9);
+        assertEquals(new LeaseRejection.NoSuccessor(TASK, 5), refusal(say(7, new LeaseCommand.Transfer(TASK, 1, 5))));
+        ask(7, new LeaseCommand.Transfer(TASK, 1, 9));
+        assertEquals(9, machine.held().get(0).session());
+        assertEquals(new LeaseRejection.AlreadyHolds(TASK, 2), refusal(say(9, new LeaseCommand.Withdraw(TASK))), "the grant came first");
+        ask(8, new LeaseCommand.Withdraw(TASK));
+        assertEquals(0, machine.held().get(0).waiting());
+    }
+
+    @Test
+    void boundsAreKept() {
+        LeaseMachine small = new LeaseMachine(new Limits(1, 10, 1, 1));
+        Command first = new Command(7, 1, 0, new LeaseCommand.Acquire("a", 5, true).encode());
+        small.apply(1, first);
+        assertInstanceOf(LeaseRejection.TooManyLeases.class, refusal(small.apply(2, new Command(7, 2, 0, new LeaseCommand.Acquire("b", 5, true).encode()))));
+        small.apply(3, new Command(8, 1, 0, new LeaseCommand.Acquire("a", 5, true).encode()));
+        assertEquals(new LeaseRejection.QueueFull("a", 1), refusal(small.apply(4, new Command(9, 1, 0, first.body()))));
+        assertInstanceOf(LeaseRejection.BadTerms.class, refusal(small.apply(5, new Command(9, 2, 0, new LeaseCommand.Acquire("a", 11, true).encode()))));
+        assertInstanceOf(LeaseRejection.BadTerms.class, refusal(small.apply(6, new Command(9, 3, 0, new LeaseCommand.Acquire("", 5, true).encode()))));
+    }
+
+    /** Whatever bytes come, the machine answers and stays as it is. */
+    @Test
+    void bytesThatAreNoCommandChangeNothing() {
+        acquire(7);
+        byte[] before = machine.snapshot();
+        byte[] good = new LeaseCommand.Act(TASK, 1, new byte[4]).encode();
+        for (int cut = 0; cut < good.length; cut++) {
+            Effects effects = machine.apply(++index, new Command(7, index, 0, Arrays.copyOf(good, cut)));
+            assertEquals("cluster-malformed", effects.refusal());
+        }
+        assertArrayEquals(before, machine.snapshot());
+    }
+
+    /** The format of version 1, which later versions must read. */
+    @Test
+    void snapshotsAreReadForEver() throws IOException {
+        acquire(7);
+        acquire(8);
+        ask(7, new LeaseCommand.Renew(TASK, 1));
+        machine.sessionEnded(++index, 7);
+        ask(9, new LeaseCommand.Acquire("trials", 3 * S, true));
+        ask(0, new LeaseCommand.RaiseTokens(40));
+        String golden = Files.readString(Path.of("src/test/resources/lease/snapshot-1.hex")).replaceAll("\\s", "");
+        assertEquals(golden, HexFormat.of().formatHex(machine.snapshot()));
+        LeaseMachine read = new LeaseMachine();
+        read.restore(HexFormat.of().parseHex(golden));
+        assertEquals(machine.held(), read.held());
+        assertArrayEquals(machine.snapshot(), read.snapshot());
+        byte[] rotten = machine.snapshot();
+        rotten[8] = 1; // The last token, less than one that is held.
+        assertThrows(ClusterException.Malformed.class, () -> read.restore(rotten));
+        assertEquals(41, read.lastToken() + 1, "as before");
+    }
+
+    @ParameterizedTest
+    @EnumSource(LeaseRejection.Kind.class)
+    void everyRefusalHasItsRowInTheOperatorsPage(LeaseRejection.Kind kind) throws IOException {
+        String page = Files.readString(Path.of("docs/operate/lease.md"));
+        assertTrue(page.contains("| `" + kind.code + "` |"), kind.code + " has no row");
+        assertEquals(List.of(LeaseRejection.class.getPermittedSubclasses()).size(), LeaseRejection.Kind.values().length);
+    }
+}
