--- /dev/null
+++ b/src/main/java/calicostream/budget/BudgetCommand.java
@@ -0,0 +1,184 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.budget;
+
+import calicostream.cluster.Bytes;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Supplier;
+
+/**
+ * What the grant machine is told; immutable. Who sent a command is the cluster's to say: a process is the session it joined under, and only
+ * the leader may expire. Encoded with a version, a kind and {@link Bytes}; a list is bounded by the bytes that are there.
+ */
+public sealed interface BudgetCommand {
+    /** The longest name of a process, tenant, engine or pool, in bytes. */
+    int NAME = 256;
+    /** More than any engine has, and the most sessions that any number here says. */
+    int UNKNOWN = 1_000_000;
+
+    /** A process starts: whatever an earlier start of it holds is no longer its own. */
+    record Join(String process) implements BudgetCommand { }
+
+    /** A process stops as planned: nothing of it runs at any engine, nor will before it joins again. */
+    record Leave() implements BudgetCommand { }
+
+    /**
+     * A process's report, which asks for its grants anew.
+     *
+     * @param number grows with each report of a session
+     * @param version of the grants that it goes by; 0 if it goes by none
+     */
+    record Renew(long number, long version, List<Use> uses, List<Want> wants) implements BudgetCommand {
+        public Renew {
+            uses = List.copyOf(uses);
+            wants = List.copyOf(wants);
+        }
+    }
+
+    /**
+     * What a process has at an engine.
+     *
+     * @param sessions its own, those on their way included
+     * @param left the most that its earlier starts may have left running; {@link #UNKNOWN} if it does not know
+     */
+    record Use(String engine, long incarnation, int sessions, int left) { }
+
+    /** Demand of a tenant for an engine, as estimated at the process. */
+    record Want(String engine, String tenant, int sessions) { }
+
+    /** The arbiter's division, or a part of it: shares that are not named stay. Taken whole or refused whole. */
+    record Divide(long token, List<Share> shares) implements BudgetCommand {
+        public Divide {
+            shares = List.copyOf(shares);
+        }
+    }
+
+    /** Sessions of a tenant at an engine for the process that joined under that session. */
+    record Share(String process, long session, String engine, long incarnation, String tenant, int sessions) { }
+
+    /** An engine is there, was replaced (a larger incarnation), or its cap has changed. */
+    record Engine(String engine, long incarnation, String pool, int cap) implements BudgetCommand { }
+
+    /** An engine is no more. */
+    record Gone(String engine, long incarnation) implements BudgetCommand { }
+
+    /**
+     * An engine's own count of a process's sessions.
+     *
+     * @param session that the process has joined under
+     * @param former the count is of all earlier starts of the process, not of this one
+     * @param seen index up to which the asker knew this machine before it asked the engine
+     * @param closed the engine had no connection left from those starts, so nothing can be on its way
+     */
+    record Count(String engine, long incarnation, String process, long session, boolean former, long seen, int running, boolean closed)
+            implements BudgetCommand { }
+
+    /** The leader has counted a whole lease since that report, or, for former starts, since the process joined. */
+    record Expire(String process, long session, boolean former, long number) implements BudgetCommand { }
+
+    /** Answer to {@link Renew}: all that is granted to the process, and what its former starts may have left running. */
+    record Grants(long number, long version, List<Share> shares, List<Use> left) {
+        public Grants {
+            shares = List.copyOf(shares);
+            left = List.copyOf(left);
+        }
+
+        public byte[] encode() {
+            Bytes.Writer out = new Bytes.Writer().u8(1).i64(number).i64(version);
+            put(out, shares);
+            putUses(out, left);
+            return out.done();
+        }
+
+        public static Grants decode(byte[] bytes) {
+            Bytes.Reader in = new Bytes.Reader("grants", bytes);
+            in.version(1);
+            Grants grants = new Grants(in.i64(), in.i64(), sharesOf(in), usesOf(in));
+            in.end();
+            return grants;
+        }
+    }
+
+    default byte[] encode() {
+        Bytes.Writer out = new Bytes.Writer().u8(1);
+        if (this instanceof Join join) {
+            out.u8(1).text(join.process);
+        } else if (this instanceof Leave) {
+            out.u8(2);
+        } else if (this instanceof Renew renew) {
+            out.u8(3).i64(renew.number).i64(renew.version);
+            putUses(out, renew.uses);
+            out.i32(renew.wants.size());
+            renew.wants.forEach(want -> out.text(want.engine).text(want.tenant).i32(want.sessions));
+        } else if (this instanceof Divide divide) {
+            out.u8(4).i64(divide.token);
+            put(out, divide.shares);
+        } else if (this instanceof Engine engine) {
+            out.u8(5).text(engine.engine).i64(engine.incarnation).text(engine.pool).i32(engine.cap);
+        } else if (this instanceof Gone gone) {
+            out.u8(6).text(gone.engine).i64(gone.incarnation);
+        } else if (this instanceof Count count) {
+            out.u8(7).text(count.engine).i64(count.incarnation).text(count.process).i64(count.session).u8(count.former ? 1 : 0)
+                    .i64(count.seen).i32(count.running).u8(count.closed ? 1 : 0);
+        } else if (this instanceof Expire expire) {
+            out.u8(8).text(expire.process).i64(expire.session).u8(expire.former ? 1 : 0).i64(expire.number);
+        }
+        return out.done();
+    }
+
+    static BudgetCommand decode(byte[] bytes) {
+        Bytes.Reader in = new Bytes.Reader("budget command", bytes);
+        in.version(1);
+        int kind = in.u8();
+        BudgetCommand command = switch (kind) {
+            case 1 -> new Join(in.text(NAME));
+            case 2 -> new Leave();
+            case 3 -> new Renew(in.i64(), in.i64(), usesOf(in),
+                    list(in, 12, () -> new Want(in.text(NAME), in.text(NAME), sessions(in))));
+            case 4 -> new Divide(in.i64(), sharesOf(in));
+            case 5 -> new Engine(in.text(NAME), in.i64(), in.text(NAME), sessions(in));
+            case 6 -> new Gone(in.text(NAME), in.i64());
+            case 7 -> new Count(in.text(NAME), in.i64(), in.text(NAME), in.i64(), in.u8() == 1, in.i64(), sessions(in), in.u8() == 1);
+            case 8 -> new Expire(in.text(NAME), in.i64(), in.u8() == 1, in.i64());
+            default -> throw in.malformed("kind " + kind);
+        };
+        in.end();
+        return command;
+    }
+
+    private static void put(Bytes.Writer out, List<Share> shares) {
+        out.i32(shares.size());
+        shares.forEach(share -> out.text(share.process).i64(share.session).text(share.engine).i64(share.incarnation).text(share.tenant)
+                .i32(share.sessions));
+    }
+
+    private static List<Share> sharesOf(Bytes.Reader in) {
+        return list(in, 32, () -> new Share(in.text(NAME), in.i64(), in.text(NAME), in.i64(), in.text(NAME), sessions(in)));
+    }
+
+    private static void putUses(Bytes.Writer out, List<Use> uses) {
+        out.i32(uses.size());
+        uses.forEach(use -> out.text(use.engine).i64(use.incarnation).i32(use.sessions).i32(use.left));
+    }
+
+    private static List<Use> usesOf(Bytes.Reader in) {
+        return list(in, 20, () -> new Use(in.text(NAME), in.i64(), sessions(in), sessions(in)));
+    }
+
+    private static int sessions(Bytes.Reader in) {
+        int sessions = in.i32();
+        if (sessions < 0 || sessions > UNKNOWN) {
+            throw in.malformed(sessions + " sessions");
+        }
+        return sessions;
+    }
+
+    private static <T> List<T> list(Bytes.Reader in, int each, Supplier<T> read) {
+        int count = in.count(each);
+        List<T> list = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            list.add(read.get());
+        }
+        return list;
+    }
+}
--- /dev/null
+++ b/src/measure/java/calicostream/budget/BudgetRuns.java
@@ -0,0 +1,168 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.budget;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+/** Runs of the fleet in virtual time: with faults, whose only question is the caps; and steady ones, whose question is fairness and use. */
+public final class BudgetRuns {
+    private static final long MS = BudgetSim.MS;
+    private static final long SECOND = 1_000 * MS;
+
+    private BudgetRuns() { }
+
+    /** What a number of runs with faults came to. */
+    public record Faulty(int runs, long steps, long commands, int faults, int overCap, String first, List<Long> reclaims,
+            Map<String, Integer> refusals) { }
+
+    /** What a steady run came to. */
+    public record Steady(double distance, double use) { }
+
+    private static BudgetSettings settings(int floor, int inHand) {
+        List<String> processes = new ArrayList<>();
+        for (int i = 1; i <= 7; i++) {
+            processes.add("p" + i);
+        }
+        return new BudgetSettings(List.of(new BudgetSettings.Pool("core", floor, 500), new BudgetSettings.Pool("scatter", 1, 500)),
+                List.of(new BudgetSettings.Tenant("north", 1, Map.of()),
+                        new BudgetSettings.Tenant("south", 2, Map.of("core", new BudgetSettings.Share(4, 200))),
+                        new BudgetSettings.Tenant("east", 3, Map.of(BudgetSettings.FLEET, new BudgetSettings.Share(0, 40))),
+                        new BudgetSettings.Tenant("west", 1, Map.of(BudgetSettings.FLEET, new BudgetSettings.Share(30, 300)))),
+                processes, SECOND, 500, inHand);
+    }
+
+    /** One run of ten seconds; null or what broke. */
+    static BudgetSim faulty(long seed, Set<Safeguard> out) {
+        SplittableRandom random = new SplittableRandom(seed * 31 + 7);
+        int[] caps = random.ints(3, 21, random.nextBoolean() ? 30 : 60).toArray();
+        int[] clients = random.ints(4, 1, 8).toArray();
+        BudgetSim sim = new BudgetSim(settings(random.nextInt(1, 4), random.nextInt(1, 4)), caps, BudgetSim.Faults.ALL, out, seed,
+                new SimProcess.Load(clients, random.nextInt(20, 200)));
+        sim.run(10 * SECOND);
+        return sim;
+    }
+
+    /** Runs with all faults, from that seed on; fewer if the time is over, which {@link System#nanoTime} tells. */
+    public static Faulty faulty(long seed, int most, long until) {
+        int runs = 0;
+        long steps = 0;
+        long commands = 0;
+        int faults = 0;
+        int over = 0;
+        String first = null;
+        List<Long> reclaims = new ArrayList<>();
+        Map<String, Integer> refusals = new TreeMap<>();
+        for (int i = 0; i < most && System.nanoTime() < until; i++) {
+            runs++;
+            BudgetSim sim = faulty(seed + i, EnumSet.noneOf(Safeguard.class));
+            steps += sim.steps;
+            commands += sim.commands;
+            faults += sim.injected.values().stream().mapToInt(Integer::intValue).sum();
+            if (sim.violation != null) {
+                over++;
+                first = first == null ? "seed " + (seed + i) + ": " + sim.violation : first;
+            }
+            reclaims.addAll(sim.reclaims);
+            sim.refusals.forEach((code, count) -> refusals.merge(code, count, Integer::sum));
+        }
+        Collections.sort(reclaims);
+        return new Faulty(runs, steps, commands, faults, over, first, reclaims, refusals);
+    }
+
+    /** The first seed at which the checker finds a break with this safeguard taken out, or -1. */
+    static long found(Safeguard safeguard, long seed, int runs) {
+        for (int i = 0; i < runs; i++) {
+            if (faulty(seed + i, EnumSet.of(safeguard)).violation != null) {
+                return seed + i;
+            }
+        }
+        return -1;
+    }
+
+    /** Safeguards that are each taken out, by name. */
+    public static List<String> safeguards() {
+        return Arrays.stream(Safeguard.values()).map(Enum::name).toList();
+    }
+
+    /** The same by name. */
+    public static long found(String safeguard, long seed, int runs) {
+        return found(Safeguard.valueOf(safeguard), seed, runs);
+    }
+
+    /** Ten seconds without faults and with enough demand, judged from the fourth on against the all-seeing division of the whole caps. */
+    public static Steady steady(long seed) {
+        SplittableRandom random = new SplittableRandom(seed * 17 + 3);
+        int[] caps = random.ints(4, 24, 49).toArray();
+        int[] clients = {random.nextInt(1, 4), random.nextInt(4, 9), random.nextInt(4, 9), random.nextInt(2, 9)};
+        BudgetSettings settings = settings(1, 8);
+        BudgetSim sim = new BudgetSim(settings, caps, BudgetSim.Faults.NONE, EnumSet.noneOf(Safeguard.class), seed,
+                new SimProcess.Load(clients, 100));
+        sim.run(4 * SECOND);
+        long[] before = areas(sim, clients.length);
+        long[] ran = ran(sim);
+        sim.run(10 * SECOND);
+        long[] after = areas(sim, clients.length);
+        long[] then = ran(sim);
+        double[] fair = MaxMinOracle.totals(problem(settings, caps, clients));
+        double distance = 0;
+        for (int t = 0; t < clients.length; t++) {
+            double has = (after[t] - before[t]) / (6.0 * SECOND);
+            distance = Math.max(distance, Math.abs(has - fair[t]) / fair[t]);
+        }
+        double use = 0;
+        double could = Math.min(Arrays.stream(caps).sum(), Arrays.stream(fair).sum());
+        for (int e = 0; e < caps.length; e++) {
+            use += (then[e] - ran[e]) / (6.0 * SECOND);
+        }
+        if (sim.violation != null) {
+            throw new IllegalStateException("seed " + seed + ": " + sim.violation);
+        }
+        return new Steady(distance, use / could);
+    }
+
+    private static long[] areas(BudgetSim sim, int tenants) {
+        long[] areas = new long[tenants];
+        for (int t = 0; t < tenants; t++) {
+            for (SimProcess process : sim.processes) {
+                areas[t] += process.sessionsArea(t);
+            }
+        }
+        return areas;
+    }
+
+    private static long[] ran(BudgetSim sim) {
+        sim.engines.forEach(engine -> engine.add(sim.now, new SimEngine.Owner("", 0), 0));
+        return sim.engines.stream().mapToLong(engine -> engine.area).toArray();
+    }
+
+    private static Divider.Problem problem(BudgetSettings settings, int[] caps, int[] clients) {
+        int tenants = clients.length;
+        int tiers = settings.pools().size();
+        int[][] wanted = new int[tenants][caps.length];
+        int[][] guarantees = new int[tenants][tiers];
+        int[][] ceilings = new int[tenants][tiers];
+        int[] tierOf = new int[caps.length];
+        for (int e = 0; e < caps.length; e++) {
+            tierOf[e] = e % tiers;
+        }
+        for (int t = 0; t < tenants; t++) {
+            Arrays.fill(wanted[t], clients[t] * settings.processes().size());
+            for (int k = 0; k < tiers; k++) {
+                BudgetSettings.Share share = settings.tenants().get(t).share(settings.pools().get(k).name());
+                guarantees[t][k] = share.guarantee();
+                ceilings[t][k] = share.ceiling();
+            }
+        }
+        return new Divider.Problem(caps, tierOf, settings.pools().stream().mapToInt(BudgetSettings.Pool::cap).toArray(),
+                settings.tenants().stream().mapToInt(BudgetSettings.Tenant::weight).toArray(), wanted, guarantees, ceilings,
+                settings.tenants().stream().mapToInt(each -> each.share(BudgetSettings.FLEET).guarantee()).toArray(),
+                settings.tenants().stream().mapToInt(each -> each.share(BudgetSettings.FLEET).ceiling()).toArray());
+    }
+}
--- /dev/null
+++ b/src/measure/java/calicostream/budget/BudgetSim.java
@@ -0,0 +1,334 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.budget;
+
+import calicostream.cluster.Command;
+import calicostream.cluster.Effects;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/**
+ * A fleet in virtual time from one seed: processes, engines, links, the log, its leader's clock and the arbiter. The checker looks at the
+ * engines' own counts after each event and knows nothing of grants but which cap is in force.
+ */
+final class BudgetSim {
+    static final long MS = 1_000_000;
+    private record Event(long at, long order, Runnable run) { }
+
+    /** What happens of itself. */
+    record Faults(boolean on, double lost, double doubled, double stalled) {
+        static final Faults NONE = new Faults(false, 0, 0, 0);
+        static final Faults ALL = new Faults(true, 0.05, 0.05, 0.01);
+    }
+
+    final BudgetSettings settings;
+    final Faults faults;
+    final Set<Safeguard> out;
+    final SplittableRandom random;
+    final List<SimEngine> engines = new ArrayList<>();
+    final List<SimProcess> processes = new ArrayList<>();
+    final GrantMachine machine;
+    final TreeMap<String, Integer> refusals = new TreeMap<>();
+    final TreeMap<String, Integer> injected = new TreeMap<>();
+    final List<Long> reclaims = new ArrayList<>();
+    private final TreeMap<String, Long> seenNumber = new TreeMap<>();
+    private final TreeMap<String, Long> calledBack = new TreeMap<>();
+    private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at)
+            : Long.compare(a.order, b.order));
+    private long order;
+    long now;
+    long index;
+    long nextSession = 1;
+    private long era;
+    private GrantTimes leader;
+    private double leaderRate;
+    private boolean quorum = true;
+    private long token;
+    private int arbiterAt;
+    private Arbiter arbiter;
+    long commands;
+    long steps;
+    String violation;
+
+    BudgetSim(BudgetSettings settings, int[] caps, Faults faults, Set<Safeguard> out, long seed, SimProcess.Load load) {
+        this.settings = settings;
+        this.faults = faults;
+        this.out = out;
+        this.random = new SplittableRandom(seed);
+        this.machine = new GrantMachine(settings, out);
+        for (int i = 0; i < caps.length; i++) {
+            engines.add(new SimEngine("e" + i, settings.pools().get(i % settings.pools().size()).name(), caps[i]));
+        }
+        for (String name : settings.processes()) {
+            processes.add(new SimProcess(this, name, load));
+        }
+        elect();
+        moveArbiter();
+        engines.forEach(this::tell);
+        processes.forEach(SimProcess::start);
+        every(50 * MS, this::count);
+        every(100 * MS, this::divide);
+        if (faults.on) {
+            every(150 * MS, this::mishap);
+        }
+    }
+
+    void run(long until) {
+        while (violation == null && !events.isEmpty() && events.peek().at <= until) {
+            Event event = events.poll();
+            now = event.at;
+            steps++;
+            event.run.run();
+            engines.forEach(this::check);
+        }
+        now = until;
+    }
+
+    private void check(SimEngine engine) {
+        Books.EngineBook book = machine.books().engines.get(engine.name);
+        if (book != null && book.incarnation == engine.incarnation) {
+            engine.inForce = book.cap;
+        }
+        if (engine.running > engine.inForce && violation == null) {
+            violation = engine.name + " runs " + engine.running + " with cap " + engine.inForce + " in force at " + now / MS + " ms";
+        }
+    }
+
+    void at(long when, Runnable run) {
+        events.add(new Event(Math.max(when, now), order++, run));
+    }
+
+    private void every(long period, Runnable run) {
+        at(now + period, () -> {
+            run.run();
+            every(period, run);
+        });
+    }
+
+    long delay() {
+        if (!faults.on) {
+            return random.nextLong(100_000, MS);
+        }
+        return random.nextDouble() < faults.stalled ? random.nextLong(4_000 * MS) : random.nextLong(100_000, 20 * MS);
+    }
+
+    void injected(String kind) {
+        injected.merge(kind, 1, Integer::sum);
+    }
+
+    /** A command on its way to the log, and its answer on the way back; either may be lost, late or doubled. */
+    void submit(long session, byte[] body, Consumer<Effects> answer) {
+        submit(session, body, answer, 0, 0);
+    }
+
+    /** @param deafUntil until when the sender hears nothing, or only later, though it is heard */
+    void submit(long session, byte[] body, Consumer<Effects> answer, long dumbUntil, long deafUntil) {
+        if (now < dumbUntil) {
+            return;
+        }
+        boolean[] applied = new boolean[1];
+        int copies = random.nextDouble() < faults.doubled ? 2 : 1;
+        for (int i = 0; i < copies; i++) {
+            if (random.nextDouble() >= faults.lost) {
+                at(now + delay(), () -> {
+                    // the layer below applies what is numbered once
+                    if (quorum && !applied[0]) {
+                        applied[0] = true;
+                        Effects effects = apply(new Command(session, 1, 0, body));
+                        for (int j = random.nextDouble() < faults.doubled ? 2 : 1; j > 0; j--) {
+                            if (random.nextDouble() >= faults.lost && (now >= deafUntil || random.nextBoolean())) {
+                                at((now >= deafUntil ? now : deafUntil + random.nextLong(500 * MS)) + delay(), () -> answer.accept(effects));
+                            }
+                        }
+                    }
+                });
+            }
+        }
+    }
+
+    private Effects apply(Command command) {
+        commands++;
+        Effects effects = machine.apply(++index, command);
+        if (!effects.accepted()) {
+            refusals.merge(effects.refusal(), 1, Integer::sum);
+        }
+        for (String name : machine.books().engines.keySet()) {
+            int committed = machine.books().committed(name);
+            Books.EngineBook book = machine.books().engines.get(name);
+            if (out.isEmpty() && committed > book.cap) {
+                violation = name + " has " + committed + " committed of " + book.cap + " at index " + index;
+            }
+        }
+        lookAtReclaims();
+        return effects;
+    }
+
+    /** From a call-back, which leaves a process less than it may still go by, to the moment when it counts no longer. */
+    private void lookAtReclaims() {
+        machine.books().processes.forEach((name, process) -> process.held.forEach((engine, held) -> {
+            String key = name + "@" + engine;
+            boolean owes = held.most() > held.granted();
+            if (owes) {
+                calledBack.putIfAbsent(key, now);
+            } else if (calledBack.containsKey(key)) {
+                reclaims.add(now - calledBack.remove(key));
+            }
+        }));
+    }
+
+    private void elect() {
+        leader = new GrantTimes(settings, machine);
+        leaderRate = 1 + (random.nextDouble() * 2 - 1) * settings.driftPpm() / 1e6;
+        leader.eraBegan(++era, (long) (now * leaderRate));
+    }
+
+    private void count() {
+        if (quorum) {
+            leader.due((long) (now * leaderRate)).forEach(body -> apply(new Command(0, 0, era, body)));
+        }
+    }
+
+    private void moveArbiter() {
+        token++;
+        arbiterAt = random.nextInt(processes.size());
+        arbiter = new Arbiter(settings);
+    }
+
+    private void divide() {
+        SimProcess seat = processes.get(arbiterAt);
+        long sent = token;
+        if (seat.isStopped() || !seat.isUp()) {
+            return;
+        }
+        GrantMachine view = new GrantMachine(settings, out);
+        view.restore(machine.snapshot());
+        for (BudgetCommand.Divide divide : arbiter.divide(view, sent)) {
+            submit(seat.session(), divide.encode(), effects -> { });
+        }
+        if (faults.on) {
+            if (random.nextInt(20) == 0) {
+                mad(view, sent, seat.session());
+            }
+            view.books().processes.forEach((name, process) -> {
+                engines.forEach(engine -> ask(view, seat, name, process, engine));
+                seenNumber.put(name, process.number);
+            });
+        }
+    }
+
+    /** An arbiter that gives whatever it likes. */
+    private void mad(GrantMachine view, long sent, long session) {
+        injected("mad division");
+        List<BudgetCommand.Share> shares = new ArrayList<>();
+        view.books().processes.forEach((name, process) -> {
+            SimEngine engine = engines.get(random.nextInt(engines.size()));
+            shares.add(new BudgetCommand.Share(name, process.session, engine.name, engine.incarnation,
+                    settings.tenants().get(random.nextInt(settings.tenants().size())).name(), random.nextInt(engine.cap)));
+        });
+        submit(session, new BudgetCommand.Divide(sent, shares).encode(), effects -> { });
+    }
+
+    /** The engine is asked what it runs of a process that is silent or was started anew, now and then of one that is neither. */
+    private void ask(GrantMachine view, SimProcess seat, String name, Books.ProcessBook process, SimEngine engine) {
+        boolean former = process.hasFormer && random.nextBoolean();
+        long over = former ? process.formerExpiredAt : process.expiredAt;
+        boolean silent = seenNumber.getOrDefault(name, -1L) == process.number;
+        if (process.session == 0 || over == 0 && random.nextInt(silent ? 2 : 20) != 0) {
+            return; // the impatient ask before it is time
+        }
+        long seen = view.books().index;
+        if (random.nextInt(silent ? 3 : 60) == 0) { // a member without the right to
+            submit(seat.session(), new BudgetCommand.Expire(name, process.session, former, process.number).encode(), effects -> { });
+        }
+        at(now + delay(), () -> {
+            BudgetCommand.Count count = new BudgetCommand.Count(engine.name, engine.incarnation, name, process.session, former, seen,
+                    engine.count(name, process.session, former), former && engine.closed(name, process.session));
+            long kept = random.nextInt(4) == 0 ? random.nextLong(2_000 * MS) : 0; // the asker may be stopped meanwhile
+            at(now + kept, () -> submit(seat.session(), count.encode(), effects -> { }));
+        });
+    }
+
+    private void tell(SimEngine engine) {
+        long incarnation = engine.incarnation;
+        int cap = engine.cap;
+        submit(1_000_000, new BudgetCommand.Engine(engine.name, incarnation, engine.pool, cap).encode(), effects -> { });
+        at(now + 500 * MS, () -> { // until the machine has it
+            Books.EngineBook book = machine.books().engines.get(engine.name);
+            if (engine.incarnation == incarnation && engine.cap == cap && (book == null || book.incarnation != incarnation || book.target != cap)) {
+                tell(engine);
+            }
+        });
+    }
+
+    private void mishap() {
+        switch (random.nextInt(11)) {
+            case 0, 9 -> {
+                injected("process stopped");
+                processes.get(random.nextInt(processes.size())).stop(random.nextLong(50 * MS, random.nextBoolean() ? 4_000 * MS : 900 * MS),
+                        random.nextBoolean());
+            }
+            case 1 -> {
+                if (random.nextInt(3) == 0) {
+                    injected("process killed");
+                    processes.get(random.nextInt(processes.size())).crash();
+                }
+            }
+            case 2 -> {
+                if (random.nextInt(3) == 0) {
+                    SimEngine engine = engines.get(random.nextInt(engines.size()));
+                    injected("engine replaced");
+                    engine.replaced(now);
+                    processes.forEach(process -> process.reset(engine));
+                    tell(engine);
+                }
+            }
+            case 3 -> {
+                SimEngine engine = engines.get(random.nextInt(engines.size()));
+                injected("cap changed");
+                engine.cap = settings.processes().size() * settings.pool(engine.pool).floor() + random.nextInt(30);
+                tell(engine);
+            }
+            case 4 -> {
+                injected("arbiter moved");
+                moveArbiter();
+            }
+            case 5 -> {
+                injected("leader moved");
+                quorum = false;
+                at(now + random.nextLong(1_000 * MS), () -> {
+                    quorum = true;
+                    elect();
+                });
+            }
+            case 6 -> {
+                if (random.nextInt(6) == 0) {
+                    injected("no quorum");
+                    quorum = false;
+                    at(now + random.nextLong(4_000 * MS), () -> {
+                        quorum = true;
+                        elect();
+                    });
+                }
+            }
+            case 7 -> {
+                if (random.nextInt(6) == 0) {
+                    injected("planned stop");
+                    processes.get(random.nextInt(processes.size())).leave();
+                }
+            }
+            case 8 -> {
+                injected("link cut one way");
+                processes.get(random.nextInt(processes.size())).cut(random.nextBoolean(), random.nextLong(3_000 * MS));
+            }
+            default -> {
+                byte[] snapshot = machine.snapshot(); // a copy that starts from a snapshot goes on alike
+                machine.restore(snapshot);
+                injected("snapshot restored");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/measure/java/calicostream/budget/MaxMinOracle.java
@@ -0,0 +1,153 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.budget;
+
+import java.util.Arrays;
+import java.util.function.IntToDoubleFunction;
+
+/**
+ * The fair division as real numbers, by another way than {@link Divider}: what any set of tenants can have together is the least cut round it, over
+ * all sets; the level is raised by bisection until a set is full, whose tenants then stay. Slow: for up to some eight tenants.
+ */
+final class MaxMinOracle {
+    /** What is given too much in one phase must be nothing to the next. */
+    private static final double[] EXACT = {1e-9, 1e-7, 1e-5};
+    private final Divider.Problem problem;
+    private final int tenants;
+
+    private MaxMinOracle(Divider.Problem problem) {
+        this.problem = problem;
+        this.tenants = problem.tenants();
+    }
+
+    /** What each tenant has in all. */
+    static double[] totals(Divider.Problem problem) {
+        return new MaxMinOracle(problem).totals();
+    }
+
+    private double[] totals() {
+        double[][] kept = new double[tenants][problem.tiers()];
+        double[] lower = new double[tenants];
+        for (int k = 0; k < problem.tiers(); k++) {
+            int tier = k;
+            double[] promised = fill(i -> problem.tierGuarantees()[i][tier], new double[tenants],
+                    i -> Math.min(problem.tierGuarantees()[i][tier], problem.tierCeilings()[i][tier]), ranks(set -> within(tier, set)), EXACT[0]);
+            for (int t = 0; t < tenants; t++) {
+                kept[t][k] = promised[t];
+                lower[t] += promised[t];
+            }
+        }
+        double[] ranks = ranks(set -> rank(set, kept));
+        double[] guaranteed = fill(t -> problem.guarantees()[t], lower, t -> Math.min(problem.guarantees()[t], problem.ceilings()[t]), ranks, EXACT[1]);
+        return fill(t -> problem.weights()[t], guaranteed, t -> problem.ceilings()[t], ranks, EXACT[2]);
+    }
+
+    private double[] ranks(IntToDoubleFunction rank) {
+        double[] ranks = new double[1 << tenants];
+        for (int set = 0; set < ranks.length; set++) {
+            ranks[set] = rank.applyAsDouble(set);
+        }
+        return ranks;
+    }
+
+    /** What the engines of a tier have for these tenants. */
+    private double within(int tier, int set) {
+        double engines = 0;
+        for (int e = 0; e < problem.engines(); e++) {
+            if (problem.tierOf()[e] == tier) {
+                double wanted = 0;
+                for (int t = 0; t < tenants; t++) {
+                    wanted += (set >> t & 1) == 1 ? problem.wanted()[t][e] : 0;
+                }
+                engines += Math.min(problem.caps()[e], wanted);
+            }
+        }
+        return Math.min(engines, problem.tierCaps()[tier]);
+    }
+
+    /** The most that these tenants can have together while each tenant keeps what it was guaranteed in each tier. */
+    private double rank(int set, double[][] kept) {
+        double rank = 0;
+        for (int k = 0; k < problem.tiers(); k++) {
+            double least = Double.MAX_VALUE;
+            for (int reached = 0; reached < 1 << tenants; reached++) {
+                double cut = within(k, reached);
+                for (int t = 0; t < tenants; t++) {
+                    boolean in = (set >> t & 1) == 1;
+                    boolean reaches = (reached >> t & 1) == 1;
+                    cut += in && !reaches ? problem.tierCeilings()[t][k] : !in && reaches ? -kept[t][k] : 0;
+                }
+                least = Math.min(least, cut);
+            }
+            rank += least;
+        }
+        return rank;
+    }
+
+    private double[] fill(IntToDoubleFunction weight, double[] lower, IntToDoubleFunction upper, double[] ranks, double exact) {
+        double[] given = lower.clone();
+        boolean[] still = new boolean[tenants];
+        for (int t = 0; t < tenants; t++) {
+            still[t] = weight.applyAsDouble(t) > 0 && upper.applyAsDouble(t) > given[t];
+        }
+        double level = 0;
+        while (any(still)) {
+            double low = level;
+            double high = 1e7;
+            for (int i = 0; i < 100; i++) {
+                double middle = (low + high) / 2;
+                if (fits(at(middle, weight, given, upper, still), ranks, exact)) {
+                    low = middle;
+                } else {
+                    high = middle;
+                }
+            }
+            level = low;
+            given = at(level, weight, given, upper, still);
+            boolean[] next = still.clone();
+            for (int t = 0; t < tenants; t++) {
+                double[] more = given.clone();
+                more[t] += 100 * exact;
+                if (still[t] && (given[t] >= upper.applyAsDouble(t) - exact || !fits(more, ranks, exact))) {
+                    next[t] = false;
+                }
+            }
+            if (Arrays.equals(next, still)) {
+                throw new IllegalStateException("nobody is full at level " + level);
+            }
+            still = next;
+        }
+        return given;
+    }
+
+    private double[] at(double level, IntToDoubleFunction weight, double[] given, IntToDoubleFunction upper, boolean[] still) {
+        double[] then = given.clone();
+        for (int t = 0; t < tenants; t++) {
+            if (still[t]) {
+                then[t] = Math.max(given[t], Math.min(upper.applyAsDouble(t), level * weight.applyAsDouble(t)));
+            }
+        }
+        return then;
+    }
+
+    private boolean fits(double[] totals, double[] ranks, double exact) {
+        for (int set = 1; set < ranks.length; set++) {
+            double sum = 0;
+            for (int t = 0; t < tenants; t++) {
+                sum += (set >> t & 1) == 1 ? totals[t] : 0;
+            }
+            if (sum > ranks[set] + exact) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static boolean any(boolean[] flags) {
+        for (boolean flag : flags) {
+            if (flag) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/src/measure/java/calicostream/budget/SimEngine.java
@@ -0,0 +1,56 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.budget;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** A stand-in engine, which runs what it is sent and counts it; it knows no grant and refuses nothing. */
+final class SimEngine {
+    /** One start of a process, as the engine tells them apart. */
+    record Owner(String process, long session) { }
+
+    final String name;
+    final String pool;
+    long incarnation = 1;
+    int cap;
+    int running;
+    /** What the checker last saw to be in force. */
+    int inForce;
+    long area;
+    long areaSince;
+    final Map<Owner, Integer> by = new HashMap<>();
+    /** Links that processes have to this incarnation: until when each is busy; gone once the engine saw it closed. */
+    final Map<Owner, Long> links = new HashMap<>();
+
+    SimEngine(String name, String pool, int cap) {
+        this.name = name;
+        this.pool = pool;
+        this.cap = cap;
+        this.inForce = cap;
+    }
+
+    void add(long now, Owner owner, int sessions) {
+        area += (now - areaSince) * running;
+        areaSince = now;
+        running += sessions;
+        by.merge(owner, sessions, Integer::sum);
+    }
+
+    void replaced(long now) {
+        add(now, new Owner("", 0), 0);
+        incarnation++;
+        running = 0;
+        by.clear();
+        links.clear();
+        inForce = cap;
+    }
+
+    int count(String process, long session, boolean former) {
+        return by.entrySet().stream().filter(each -> each.getKey().process.equals(process)
+                && (former ? each.getKey().session < session : each.getKey().session == session)).mapToInt(Map.Entry::getValue).sum();
+    }
+
+    boolean closed(String process, long session) {
+        return links.keySet().stream().noneMatch(owner -> owner.process.equals(process) && owner.session < session);
+    }
+}
--- /dev/null
+++ b/src/measure/java/calicostream/measure/BudgetMeasure.java
@@ -0,0 +1,86 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.measure;
+
+import calicostream.budget.BudgetCommand;
+import calicostream.budget.BudgetRuns;
+import calicostream.budget.BudgetSettings;
+import calicostream.budget.Demand;
+import calicostream.budget.Holdings;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Session budgets: fleets in virtual time with faults until the time is up, steady ones against the all-seeing division, and what one decision
+ * costs in real time. The last line holds the figures.
+ */
+public final class BudgetMeasure {
+    private static final long FAULTY_NANOS = 25_000_000_000L;
+    private static final int STEADY = 5;
+    private static final long TTL = 1_000_000_000;
+
+    private BudgetMeasure() { }
+
+    public static void main(String[] args) {
+        long seed = args.length > 0 ? Long.parseLong(args[0]) : 1;
+        long runs = args.length > 1 ? Long.parseLong(args[1]) : Long.MAX_VALUE;
+        System.out.println("seed " + seed);
+        double distance = 0;
+        double use = 1;
+        for (int i = 0; i < STEADY; i++) {
+            BudgetRuns.Steady steady = BudgetRuns.steady(seed + i);
+            System.out.println("steady, seed " + (seed + i) + ": " + steady);
+            distance = Math.max(distance, steady.distance());
+            use = Math.min(use, steady.use());
+        }
+        long until = runs == Long.MAX_VALUE ? System.nanoTime() + FAULTY_NANOS : Long.MAX_VALUE;
+        BudgetRuns.Faulty faulty = BudgetRuns.faulty(seed, (int) Math.min(runs, 100_000), until);
+        System.out.println("faulty: " + faulty.steps() + " steps, " + faulty.commands() + " commands, " + faulty.faults() + " faults, refused "
+                + faulty.refusals() + (faulty.first() == null ? "" : ", " + faulty.first()));
+        List<Long> reclaims = faulty.reclaims();
+        System.out.printf(Locale.ROOT, "budget runs=%d over_cap=%d fair_distance=%.4f cap_use_ratio=%.3f reclaim_p50_ttl=%.2f reclaim_p99_ttl=%.2f"
+                + " decision_ns_p99=%.1f seed=%d%n", faulty.runs(), faulty.overCap(), distance, use, at(reclaims, 0.5), at(reclaims, 0.99),
+                decisionNanos(), seed);
+    }
+
+    private static double at(List<Long> sorted, double part) {
+        return sorted.isEmpty() ? 0 : sorted.get((int) ((sorted.size() - 1) * part)) / (double) TTL;
+    }
+
+    /** The 99th percentile over batches of a hundred decisions, as one is shorter than the clock's step. */
+    private static double decisionNanos() {
+        int engines = 60;
+        int tenants = 16;
+        List<BudgetSettings.Tenant> names = new ArrayList<>();
+        List<BudgetCommand.Share> shares = new ArrayList<>();
+        for (int t = 0; t < tenants; t++) {
+            names.add(new BudgetSettings.Tenant("t" + t, 1 + t, Map.of()));
+        }
+        Holdings holdings = new Holdings(new BudgetSettings(List.of(new BudgetSettings.Pool("pool", 1, 1_000)), names, List.of("p"), TTL, 500, 8),
+                "p");
+        for (int e = 0; e < engines; e++) {
+            holdings.connected(holdings.engine("e" + e, "pool"), 1);
+            for (int t = 0; t < tenants; t++) {
+                shares.add(new BudgetCommand.Share("p", 1, "e" + e, 1, "t" + t, (e + t) % 3));
+            }
+        }
+        holdings.granted(new BudgetCommand.Grants(holdings.report(0, new Demand(tenants, 1)).number(), 1, shares, List.of()), 0);
+        Histogram batches = new Histogram(3);
+        int yes = 0;
+        for (int i = 0; i < 400_000; i++) {
+            long from = System.nanoTime();
+            for (int j = 0; j < 100; j++) {
+                yes += holdings.mayUse((i + j * 7) % tenants, (i * 13 + j) % engines, 1) ? 1 : 0;
+            }
+            if (i >= 100_000) {
+                batches.recordValue(System.nanoTime() - from);
+            }
+        }
+        if (yes == 0) {
+            throw new IllegalStateException("nothing may be used");
+        }
+        return batches.getValueAtPercentile(99) / 100.0;
+    }
+}
--- /dev/null
+++ b/src/test/java/calicostream/budget/BudgetRunsTest.java
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.budget;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class BudgetRunsTest {
+    private static final long SEED = 1;
+
+    @Test
+    void noEngineIsOverItsCapWhateverFails() {
+        BudgetRuns.Faulty runs = BudgetRuns.faulty(SEED, 40, Long.MAX_VALUE);
+        System.out.println("seed " + SEED + ": " + runs.runs() + " runs, " + runs.steps() + " steps, " + runs.commands() + " commands, "
+                + runs.faults() + " faults, refused " + runs.refusals());
+        assertNull(runs.first());
+        assertTrue(runs.refusals().keySet().containsAll(Set.of("budget-over-cap", "budget-no-proof", "budget-grant-over", "budget-not-due",
+                "budget-old-report", "budget-cap-lowered", "budget-other-incarnation")), "every refusal has been met");
+    }
+
+    @Test
+    void theSameSeedGivesTheSameRun() {
+        BudgetSim one = BudgetRuns.faulty(SEED, Set.of());
+        BudgetSim other = BudgetRuns.faulty(SEED, Set.of());
+        assertEquals(one.steps, other.steps);
+        assertArrayEquals(one.machine.snapshot(), other.machine.snapshot());
+    }
+
+    @Test
+    void theCheckerSeesDivisionsThatAreNotCheckedAndCapsThatDoNotWait() {
+        for (Safeguard safeguard : Set.of(Safeguard.CAP_AT_APPLY, Safeguard.LOWERED_CAP_WAITS)) {
+            assertTrue(BudgetRuns.found(safeguard, SEED, 40) >= 0, safeguard + " is not found from seed " + SEED);
+        }
+    }
+
+    @Test
+    void sharesAreFairAndCapsAreUsed() {
+        for (long seed = SEED; seed < SEED + 2; seed++) {
+            BudgetRuns.Steady steady = BudgetRuns.steady(seed);
+            System.out.println("seed " + seed + ": distance " + steady.distance() + ", use " + steady.use());
+            assertTrue(steady.distance() <= 0.05, "seed " + seed + ": distance " + steady.distance());
+            assertTrue(steady.use() >= 0.9, "seed " + seed + ": use " + steady.use());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/calicostream/budget/GrantMachineTest.java
@@ -0,0 +1,125 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.budget;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import calicostream.cluster.ClusterException;
+import calicostream.cluster.Command;
+import calicostream.cluster.Effects;
+import java.lang.reflect.Modifier;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+
+class GrantMachineTest {
+    private static final BudgetSettings SETTINGS = new BudgetSettings(List.of(new BudgetSettings.Pool("pool", 2, 100)),
+            List.of(new BudgetSettings.Tenant("t", 1, Map.of())), List.of("a", "b"), 1_000_000_000, 500, 2);
+    private final GrantMachine machine = new GrantMachine(SETTINGS);
+    private long index;
+
+    private Effects tell(long session, BudgetCommand command) {
+        return machine.apply(++index, new Command(session, 1, 0, command.encode()));
+    }
+
+    private String refusal(long session, BudgetCommand command) {
+        byte[] before = machine.snapshot();
+        String refusal = tell(session, command).refusal();
+        byte[] after = machine.snapshot();
+        Arrays.fill(before, 9, 17, (byte) 0); // the index alone may move on
+        Arrays.fill(after, 9, 17, (byte) 0);
+        assertArrayEquals(before, after, "what is refused changes nothing");
+        return refusal;
+    }
+
+    private static BudgetCommand.Divide divide(long token, String process, long session, long incarnation, int sessions) {
+        return new BudgetCommand.Divide(token, List.of(new BudgetCommand.Share(process, session, "e", incarnation, "t", sessions)));
+    }
+
+    private void start() {
+        tell(9, new BudgetCommand.Engine("e", 1, "pool", 10));
+        tell(1, new BudgetCommand.Join("a"));
+        tell(2, new BudgetCommand.Join("b"));
+    }
+
+    @Test
+    void eachRefusalHasItsType() {
+        assertEquals("budget-other-incarnation", refusal(1, divide(1, "a", 1, 1, 1)));
+        start();
+        assertTrue(tell(1, divide(5, "a", 1, 1, 8)).accepted());
+        assertEquals("budget-old-token", refusal(1, divide(4, "a", 1, 1, 1)));
+        assertEquals("budget-over-cap", refusal(1, divide(5, "b", 2, 1, 3)));
+        assertEquals("budget-grant-over", refusal(1, divide(5, "b", 7, 1, 1)));
+        assertEquals("budget-unknown", refusal(1, new BudgetCommand.Divide(5, List.of(new BudgetCommand.Share("a", 1, "e", 1, "x", 1)))));
+        assertEquals("budget-floors-over-cap", refusal(1, new BudgetCommand.Engine("e", 1, "pool", 3)));
+        assertEquals("budget-other-incarnation", refusal(1, new BudgetCommand.Engine("e", 0, "pool", 10)));
+        assertEquals("budget-no-proof", refusal(2, new BudgetCommand.Count("e", 1, "a", 1, false, index, 0, false)));
+        assertEquals("budget-not-due", refusal(2, new BudgetCommand.Expire("a", 1, false, 0)));
+        assertTrue(tell(1, new BudgetCommand.Renew(1, 1, List.of(), List.of())).accepted());
+        assertEquals("budget-old-report", refusal(1, new BudgetCommand.Renew(1, 1, List.of(), List.of())));
+        tell(9, new BudgetCommand.Engine("e", 1, "pool", 6));
+        assertEquals("budget-cap-lowered", refusal(1, divide(5, "b", 2, 1, 1)));
+        assertEquals("cluster-malformed", machine.apply(++index, new Command(1, 1, 0, new byte[] {1, 99})).refusal());
+    }
+
+    @Test
+    void aLoweredCapIsRecordedUntilItIsInForce() {
+        start();
+        tell(1, divide(1, "a", 1, 1, 8));
+        assertTrue(tell(9, new BudgetCommand.Engine("e", 1, "pool", 5)).events().isEmpty());
+        tell(1, divide(1, "a", 1, 1, 3));
+        assertEquals(10, machine.books().engines.get("e").cap);
+        Effects known = tell(1, new BudgetCommand.Renew(1, 2, List.of(new BudgetCommand.Use("e", 1, 3, 0)), List.of()));
+        assertEquals("budget-cap-in-force", known.events().get(0).kind());
+        assertEquals(5, machine.books().engines.get("e").cap);
+    }
+
+    @Test
+    void aReplacedEngineOwesNothingToItsFormerIncarnation() {
+        start();
+        tell(1, divide(1, "a", 1, 1, 8));
+        tell(9, new BudgetCommand.Engine("e", 2, "pool", 10));
+        assertEquals(4, machine.books().committed("e"));
+        assertEquals("budget-other-incarnation", refusal(1, divide(1, "a", 1, 1, 1)));
+        tell(9, new BudgetCommand.Gone("e", 2));
+        assertEquals("budget-other-incarnation", refusal(9, new BudgetCommand.Engine("e", 2, "pool", 10)), "none comes back");
+    }
+
+    @Test
+    void snapshotsAreWholeOrRefused() {
+        start();
+        tell(1, divide(1, "a", 1, 1, 5));
+        byte[] snapshot = machine.snapshot();
+        GrantMachine copy = new GrantMachine(SETTINGS);
+        copy.restore(snapshot);
+        assertArrayEquals(snapshot, copy.snapshot());
+        for (int length = 0; length < snapshot.length; length++) {
+            byte[] torn = Arrays.copyOf(snapshot, length);
+            assertThrows(ClusterException.Malformed.class, () -> copy.restore(torn));
+        }
+        assertArrayEquals(snapshot, copy.snapshot(), "as before");
+    }
+
+    @Test
+    void impossibleSettingsNameTheirKey() {
+        assertTrue(assertThrows(BudgetException.BadSetting.class, () -> new BudgetSettings(List.of(new BudgetSettings.Pool("p", 1, 5)),
+                List.of(new BudgetSettings.Tenant("t", 1, Map.of("p", new BudgetSettings.Share(6, 8)))), List.of("a"), 1_000_000_000, 500, 1))
+                .getMessage().contains("pools.p.cap"));
+    }
+
+    @Test
+    void everyErrorHasItsRowInTheOperatorsPage() throws Exception {
+        String page = Files.readString(Path.of("docs/operate/budget.md"));
+        String source = Files.readString(Path.of("src/main/java/calicostream/budget/BudgetException.java"));
+        List<String> codes = Pattern.compile("super\\(\"(budget-[a-z-]+)\"").matcher(source).results().map(match -> match.group(1)).toList();
+        assertEquals(Arrays.stream(BudgetException.class.getPermittedSubclasses()).filter(each -> Modifier.isFinal(each.getModifiers())).count(),
+                codes.stream().distinct().count());
+        codes.forEach(code -> assertTrue(page.contains("| `" + code + "` |"), code + " has no row"));
+    }
+}
--- /dev/null
+++ b/src/test/java/calicostream/budget/HoldingsTest.java
@@ -0,0 +1,107 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.budget;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class HoldingsTest {
+    private static final long MS = 1_000_000;
+    private static final BudgetSettings SETTINGS = new BudgetSettings(List.of(new BudgetSettings.Pool("pool", 2, 100)),
+            List.of(new BudgetSettings.Tenant("s", 1, Map.of()), new BudgetSettings.Tenant("t", 3, Map.of())), List.of("a"), 1_000 * MS, 500, 4);
+    private final Holdings holdings = new Holdings(SETTINGS, "a");
+    private final int e = holdings.engine("e", "pool");
+
+    private int begins(int tenant, long now) {
+        int begun = 0;
+        while (holdings.mayUse(tenant, e, now)) {
+            holdings.begun(tenant, e);
+            holdings.arrived(e, 1);
+            begun++;
+        }
+        return begun;
+    }
+
+    private void granted(long now, int s, int t) {
+        long number = holdings.report(now, new Demand(2, MS)).number();
+        holdings.granted(new BudgetCommand.Grants(number, number, List.of(new BudgetCommand.Share("", 1, "e", 1, "s", s),
+                new BudgetCommand.Share("", 1, "e", 1, "t", t)), List.of(new BudgetCommand.Use("e", 1, 0, 0))), now);
+    }
+
+    @Test
+    void floorsRemainWhenGrantsHaveEnded() {
+        holdings.connected(e, 1);
+        assertEquals(0, begins(0, 0), "what former starts left is not known");
+        granted(0, 3, 5);
+        assertEquals(3, begins(0, 0));
+        assertFalse(holdings.mayUse(1, e, SETTINGS.usableNanos()), "three run over the floor of two");
+        assertFalse(holdings.isLive());
+        holdings.ended(0, e, 1);
+        holdings.ended(0, e, 1);
+        assertEquals(1, begins(1, 2_000 * MS));
+    }
+
+    @Test
+    void grantsEndBeforeTheLeaderHasCountedThemOut() {
+        assertTrue(SETTINGS.usableNanos() * (1 + 500e-6) / (1 - 500e-6) < SETTINGS.ttlNanos(), "the slowest clock here, the fastest there");
+        assertTrue(SETTINGS.usableNanos() > SETTINGS.ttlNanos() * 0.998);
+    }
+
+    @Test
+    void aReplacedEngineStartsFromFloors() {
+        holdings.connected(e, 1);
+        granted(0, 3, 5);
+        begins(0, 0);
+        holdings.connected(e, 2);
+        assertEquals(0, holdings.sessions(0, e));
+        holdings.ended(0, e, 1);
+        assertEquals(0, holdings.sessions(0, e), "a late word of the former incarnation");
+        assertTrue(holdings.mayUse(0, e, 0));
+        holdings.begun(0, e);
+        holdings.begun(0, e);
+        assertFalse(holdings.mayUse(0, e, 0));
+    }
+
+    @Test
+    void whoHasLeastForItsWeightIsNextAndRefusalsTellWhenToReturn() {
+        TenantQueues queues = new TenantQueues(SETTINGS, 10, 1);
+        holdings.connected(e, 1);
+        granted(0, 4, 4);
+        for (long request = 0; request < 4; request++) {
+            queues.offer((int) request % 2, e, request, 0, 100 * MS);
+        }
+        assertEquals(0, queues.next(e, 0, holdings));
+        holdings.begun(0, e);
+        assertEquals(1, queues.next(e, 0, holdings));
+        holdings.begun(1, e);
+        assertEquals(3, queues.next(e, 0, holdings), "a third of the load for its weight");
+        assertEquals(List.of(2L), queues.impatient(0, 100 * MS));
+        queues.ended(0, 100 * MS);
+        queues.ended(0, 150 * MS);
+        BudgetException.NoRoom refusal = assertThrows(BudgetException.NoRoom.class, () -> queues.offer(0, e, 9, 150 * MS, 20 * MS));
+        assertEquals(50 * MS, refusal.returnAfterNanos(), "a session ends each 50 ms");
+    }
+
+    @Test
+    void demandRisesAtOnceAndFallsLateAndNotByLittle() {
+        Demand demand = new Demand(2, 100 * MS);
+        demand.observe(1, 0, 8, 8, 1_000 * MS);
+        int high = demand.estimate(1, 0);
+        assertEquals(18, high);
+        for (long now = 1_010; now < 2_000; now += 10) {
+            demand.observe(1, 0, 8, (int) (now / 10 % 4) + 4, now * MS);
+            assertEquals(high, demand.estimate(1, 0), "at " + now);
+        }
+        demand.observe(1, 0, 1, 0, 2_000 * MS);
+        assertEquals(high, demand.estimate(1, 0));
+        for (long now = 2_010; now < 2_300; now += 10) {
+            demand.observe(1, 0, 1, 0, now * MS);
+        }
+        assertEquals(2, demand.estimate(1, 0));
+    }
+}
--- /dev/null
+++ b/src/test/java/calicostream/budget/SafeguardsTest.java
@@ -0,0 +1,251 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.budget;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import calicostream.cluster.Command;
+import calicostream.cluster.Effects;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** For each safeguard the shortest history in which the engine passes its cap without it, and does not with it. */
+class SafeguardsTest {
+    private static final long MS = 1_000_000;
+    private static final int CAP = 10;
+    private static final BudgetSettings SETTINGS = new BudgetSettings(List.of(new BudgetSettings.Pool("pool", 1, 100)),
+            List.of(new BudgetSettings.Tenant("tenant", 1, Map.of())), List.of("a", "b"), 1_000 * MS, 500, 2);
+
+    /** One engine, which runs what it is sent, and two processes. */
+    private static final class World {
+        private final Set<Safeguard> out;
+        private final GrantMachine machine;
+        private long index;
+        private int running;
+        private boolean over;
+        private final Process a;
+        private final Process b;
+
+        World(Safeguard without) {
+            out = without == null ? EnumSet.noneOf(Safeguard.class) : EnumSet.of(without);
+            machine = new GrantMachine(SETTINGS, out);
+            tell(9, new BudgetCommand.Engine("e", 1, "pool", CAP));
+            a = new Process("a", 1);
+            b = new Process("b", 2);
+            a.open();
+            b.open();
+        }
+
+        Effects tell(long session, BudgetCommand command) {
+            return machine.apply(++index, new Command(session, 1, 0, command.encode()));
+        }
+
+        void look() {
+            over |= running > machine.books().engines.get("e").cap;
+        }
+
+        /** As many as the machine lets the process have. */
+        void grantMost(Process process) {
+            int sessions = CAP;
+            while (sessions > 0 && !grant(process, sessions)) {
+                sessions--;
+            }
+        }
+
+        boolean grant(Process process, int sessions) {
+            return tell(2, new BudgetCommand.Divide(1, List.of(new BudgetCommand.Share(process.name, process.session, "e", 1, "tenant", sessions))))
+                    .accepted();
+        }
+
+        void count(Process process, boolean former, long seen, int sessions) {
+            tell(2, new BudgetCommand.Count("e", 1, process.name, process.session, former, seen, sessions, false));
+        }
+
+        void expire(Process process) {
+            tell(0, new BudgetCommand.Expire(process.name, process.session, false, machine.books().processes.get(process.name).number));
+        }
+
+        final class Process {
+            final String name;
+            final long session;
+            final Holdings holdings;
+            private final Demand demand = new Demand(1, MS);
+
+            Process(String name, long session) {
+                this.name = name;
+                this.session = session;
+                holdings = new Holdings(SETTINGS, name, out);
+                holdings.engine("e", "pool");
+                holdings.connected(0, 1);
+                tell(session, new BudgetCommand.Join(name));
+            }
+
+            void open() {
+                holdings.leftRunning(0, 1, 0);
+            }
+
+            Effects asks(long now) {
+                return tell(session, holdings.report(now, demand));
+            }
+
+            void hears(Effects effects, long now) {
+                holdings.granted(BudgetCommand.Grants.decode(effects.answer()), now);
+            }
+
+            /** Begins all that it may; the engine has each at once. */
+            void begins(long now) {
+                while (holdings.mayUse(0, 0, now)) {
+                    holdings.begun(0, 0);
+                    holdings.arrived(0, 1);
+                    running++;
+                }
+                look();
+            }
+        }
+    }
+
+    private interface History {
+        void play(World world);
+    }
+
+    private static void assertGuards(Safeguard safeguard, History history) {
+        World with = new World(null);
+        history.play(with);
+        assertTrue(!with.over, safeguard + ": over the cap with all safeguards, " + with.running);
+        World without = new World(safeguard);
+        history.play(without);
+        assertTrue(without.over, safeguard + ": taken out, and not found");
+    }
+
+    /** The process has eight and knows it. */
+    private static void eight(World world, World.Process process) {
+        assertTrue(world.grant(process, 8));
+        process.hears(process.asks(0), 0);
+    }
+
+    private static void theOtherTakesTheRest(World world, long now) {
+        world.grantMost(world.b);
+        world.b.hears(world.b.asks(now), now);
+        world.b.begins(now);
+    }
+
+    @Test
+    void grantsAreHeldToTheirExpiry() {
+        assertGuards(Safeguard.GRANT_HELD_TO_EXPIRY, world -> {
+            eight(world, world.a);
+            world.count(world.a, false, world.index, 0);
+            theOtherTakesTheRest(world, 0);
+            world.a.begins(0);
+        });
+    }
+
+    @Test
+    void loweredGrantsCountUntilTheyAreKnown() {
+        assertGuards(Safeguard.LOWERED_COUNTS_UNTIL_KNOWN, world -> {
+            eight(world, world.a);
+            assertTrue(world.grant(world.a, 1));
+            theOtherTakesTheRest(world, 0);
+            world.a.begins(0);
+        });
+    }
+
+    @Test
+    void whatASilentProcessLeftRunningCounts() {
+        assertGuards(Safeguard.LEFT_RUNNING_COUNTS, world -> {
+            eight(world, world.a);
+            world.a.begins(0);
+            world.expire(world.a);
+            theOtherTakesTheRest(world, 1_100 * MS);
+        });
+    }
+
+    @Test
+    void aCountFromBeforeTheExpiryProvesNothing() {
+        assertGuards(Safeguard.PROOF_AFTER_EXPIRY, world -> {
+            eight(world, world.a);
+            long seen = world.index;
+            world.a.begins(0);
+            world.expire(world.a);
+            world.count(world.a, false, seen, 0);
+            theOtherTakesTheRest(world, 1_100 * MS);
+        });
+    }
+
+    @Test
+    void whatWasDecidedBeforeAStopIsSentAfterIt() {
+        assertGuards(Safeguard.IN_HAND_COUNTS, world -> {
+            eight(world, world.a);
+            int decided = 0;
+            while (world.a.holdings.mayUse(0, 0, 0)) {
+                world.a.holdings.begun(0, 0);
+                decided++;
+            }
+            assertEquals(SETTINGS.inHand(), decided);
+            world.expire(world.a);
+            world.count(world.a, false, world.index, 0);
+            theOtherTakesTheRest(world, 1_100 * MS);
+            world.running += decided;
+            world.look();
+        });
+    }
+
+    @Test
+    void aDivisionOverTheCapIsRefused() {
+        assertGuards(Safeguard.CAP_AT_APPLY, world -> {
+            eight(world, world.a);
+            world.a.begins(0);
+            theOtherTakesTheRest(world, 0);
+        });
+    }
+
+    @Test
+    void aLoweredCapIsInForceOnceItIsTrue() {
+        assertGuards(Safeguard.LOWERED_CAP_WAITS, world -> {
+            eight(world, world.a);
+            world.a.begins(0);
+            world.tell(9, new BudgetCommand.Engine("e", 1, "pool", 4));
+            world.look();
+        });
+    }
+
+    @Test
+    void grantsCountFromBeforeTheyWereAskedFor() {
+        assertGuards(Safeguard.TIME_FROM_ASKING, world -> {
+            assertTrue(world.grant(world.a, 8));
+            Effects late = world.a.asks(0);
+            world.expire(world.a);
+            world.count(world.a, false, world.index, 0);
+            theOtherTakesTheRest(world, 1_100 * MS);
+            world.a.hears(late, 1_500 * MS);
+            world.a.begins(1_500 * MS);
+        });
+    }
+
+    @Test
+    void whoSaidThatItsGrantsAreOverTakesNoOlderAnswer() {
+        assertGuards(Safeguard.NO_ANSWER_BEFORE_LAPSE, world -> {
+            eight(world, world.a);
+            Effects late = world.a.asks(900 * MS);
+            assertTrue(world.grant(world.a, 1));
+            world.a.asks(1_000 * MS);
+            theOtherTakesTheRest(world, 1_010 * MS);
+            world.a.hears(late, 1_020 * MS);
+            world.a.begins(1_020 * MS);
+        });
+    }
+
+    @Test
+    void aStartedProcessUsesNoFloorBeforeItKnowsWhatItLeftRunning() {
+        assertGuards(Safeguard.FLOOR_AFTER_LEFT_KNOWN, world -> {
+            world.grantMost(world.a);
+            world.a.hears(world.a.asks(0), 0);
+            world.a.begins(0);
+            world.b.begins(0);
+            World.Process again = world.new Process("a", 3);
+            again.begins(10 * MS);
+        });
+    }
+}
