--- a/src/main/java/calicostream/budget/Books.java
+++ b/src/main/java/calicostream/budget/Books.java
@@ -165,7 +165,11 @@
             engine.pool = in.text(BudgetCommand.NAME);
             engine.cap = in.i32();
             engine.target = in.i32();
-            engine.floor = settings.pool(engine.pool).floor();
+            try {
+                engine.floor = settings.pool(engine.pool).floor();
+            } catch (BudgetException.Unknown other) {
+                throw in.malformed(other.getMessage());
+            }
         }
         for (int i = in.count(12); i > 0; i--) {
             books.past.put(in.text(BudgetCommand.NAME), in.i64());
--- a/src/main/java/calicostream/budget/Divider.java
+++ b/src/main/java/calicostream/budget/Divider.java
@@ -104,7 +104,7 @@
         return placed;
     }
 
-    /** In each tier first, which is kept there and told, then over all; where engines are lost and not all can be met, in proportion to what is guaranteed. */
+    /** In each tier first, which is kept there and told, then over all; where not all can be met, in proportion to what is guaranteed. */
     private int[][] guarantee() {
         int tiers = problem.tiers();
         int[] promised = new int[problem.tenants() * tiers];
--- a/src/main/java/calicostream/budget/Holdings.java
+++ b/src/main/java/calicostream/budget/Holdings.java
@@ -40,6 +40,7 @@
     private long adopted;
     private long oldest;
     private long version;
+    private boolean calledBack;
 
     public Holdings(BudgetSettings settings, String process) {
         this(settings, process, EnumSet.noneOf(Safeguard.class));
@@ -140,6 +141,7 @@
             lapse();
         }
         asked.put(++number, now);
+        calledBack = false;
         if (asked.size() > 64) {
             asked.pollFirstEntry();
         }
@@ -180,8 +182,9 @@
         live = true;
         ends = until;
         version = grants.version();
+        int[] before = sum;
+        sum = new int[before.length];
         Arrays.fill(limit, 0);
-        Arrays.fill(sum, 0);
         for (BudgetCommand.Use use : grants.left()) {
             Integer slot = slots.get(use.engine());
             if (slot != null) {
@@ -199,10 +202,16 @@
             }
         }
         for (int engine = 0; engine < names.size(); engine++) {
+            calledBack |= sum[engine] < before[engine];
             refresh(engine);
         }
     }
 
+    /** Something was called back: the sooner the next report says that this is known, the sooner another may use it. */
+    public boolean isCalledBack() {
+        return calledBack;
+    }
+
     /** Refused, or known otherwise to be over: only floors from here on, and the next report says so. */
     public void lapse() {
         live = false;
--- a/src/test/java/calicostream/budget/HoldingsTest.java
+++ b/src/test/java/calicostream/budget/HoldingsTest.java
@@ -52,6 +52,22 @@
         assertTrue(SETTINGS.usableNanos() > SETTINGS.ttlNanos() * 0.998);
     }
 
+    @Test
+    void aDecisionAllocatesNothing() {
+        holdings.connected(e, 1);
+        granted(0, 3, 5);
+        com.sun.management.ThreadMXBean threads = (com.sun.management.ThreadMXBean) java.lang.management.ManagementFactory.getThreadMXBean();
+        threads.getCurrentThreadAllocatedBytes();
+        long before = threads.getCurrentThreadAllocatedBytes();
+        int yes = 0;
+        for (int i = 0; i < 100_000; i++) {
+            yes += holdings.mayUse(i & 1, e, i) ? 1 : 0;
+        }
+        long allocated = threads.getCurrentThreadAllocatedBytes() - before;
+        assertEquals(100_000, yes);
+        assertTrue(allocated < 10_000, allocated + " bytes");
+    }
+
     @Test
     void aReplacedEngineStartsFromFloors() {
         holdings.connected(e, 1);
