The cluster's settings in TOML: a unit in every value, a mistake is one line with its key

Need: who turns the cluster on names voters, times and bounds, and a mistake in them must be seen before the process serves anybody.

NODE_CLUSTER names the file; without it, or where the file says enabled = false, the cluster is off and none of its classes is loaded. ClusterConfig is read by tomlj, since jackson-dataformat-toml keeps no lines of keys. An unknown key, a wrong unit, a value past its bounds, two voters that share a name, number or address, and settings that contradict each other end the program with the exit code 2 and one line: file, line, key, fact and a stable code. SettingsFile lets further parts read sections of the same file in the same way. A class path without target/lib-cluster is told likewise. No member runs by the settings yet, and the log says so.

--- a/src/main/java/calicostream/Main.java
+++ b/src/main/java/calicostream/Main.java
@@ -30,10 +30,10 @@
         }
     }
 
-    /** The folder in which the processes of this front end find each other. */
-    private static Path shared() {
-        String folder = System.getenv("TMPDIR");
-        return folder == null || folder.isEmpty() ? null : Path.of(folder);
+    /** What a variable of the environment names, or null. */
+    private static Path named(String variable) {
+        String path = System.getenv(variable);
+        return path == null || path.isEmpty() ? null : Path.of(path);
     }
 
     private static void serve() {
@@ -47,7 +47,8 @@
                 throw new SettingsException("bad configuration: NODE_CONFIG is not set");
             }
             Path deploy = Path.of(System.getProperty("calicostream.deploy", "deploy"));
-            Node node = Composition.node(NodeConfig.read(Path.of(path)), deploy, shared());
+            Node node = Composition.node(NodeConfig.read(Path.of(path)), deploy,
+                    named("TMPDIR"), named("NODE_CLUSTER")); // TMPDIR: where processes of this front end find each other
             hangup.tell(() -> node.reload(Path.of(path)));
             node.run();
         } catch (SettingsException e) {
--- a/src/main/java/calicostream/SettingsException.java
+++ b/src/main/java/calicostream/SettingsException.java
@@ -2,7 +2,7 @@
 package calicostream;
 
 /** Settings or configuration that can't be used; its message is shown to the operator as it is. */
-public final class SettingsException extends RuntimeException {
+public class SettingsException extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
     public SettingsException(String message) {
--- a/src/main/java/calicostream/daemon/Composition.java
+++ b/src/main/java/calicostream/daemon/Composition.java
@@ -34,11 +34,12 @@
 
     /**
      * A front end as its configuration and the files of the {@code deploy} folder say. {@code shared} is the folder that
-     * this front end's processes have in common, or null.
+     * this front end's processes have in common, or null. {@code clusterFile} has the cluster's settings, or is null.
      */
-    public static Node node(NodeConfig config, Path deploy, Path shared) throws IOException {
+    public static Node node(NodeConfig config, Path deploy, Path shared, Path clusterFile) throws IOException {
         FlightConfig flightConfig = flight(deploy.resolve("flight.json"));
         SyslogConfig syslogConfig = syslog(deploy.resolve("syslog.json"));
+        ClusterPart cluster = clusterFile == null ? null : ClusterPart.read(clusterFile);
         Descriptors descriptors = Descriptors.of(config.sockets()); // Counts what is open: before anything else is.
         Loop loop = new Loop(new Clock(), new Deadlines());
         SettingsParser settings = config.settings();
@@ -53,6 +54,9 @@
 
         List<Service> services = flight == null ? List.of() : List.of(flight.front(gateway));
         Function<Object, byte[]> text = flight == null ? rows -> (byte[]) rows : flight.text();
+        if (cluster != null) {
+            cluster.tell();
+        }
         return new Node(config, new Parts(descriptors, loop, gateway, engines, text, services), shared);
     }
 
--- a/src/test/java/calicostream/packaged/PackagedTest.java
+++ b/src/test/java/calicostream/packaged/PackagedTest.java
@@ -79,6 +79,34 @@
         }
     }
 
+    /** With the class path of {@code run}, and with the one that README.md has for the cluster. */
+    @Test
+    void clusterThatCannotBeStartedEndsTheProgramWithOneLine() throws Exception {
+        Path settings = Files.writeString(folder.resolve("cluster.toml"), Files.readString(Path.of("deploy/cluster.toml"))
+                .replace("enabled = false", "enabled = true").replace("drift = \"500ppm\"", "drift = \"500\""));
+        assertEquals(List.of("calicostream: bad configuration: NODE_CLUSTER names " + settings + ", but the class path has "
+                + "not the libraries of target/lib-cluster; README.md has the command [cluster-libraries-missing]"),
+                refused(Program.run(), settings));
+        String command = Files.readAllLines(Path.of("README.md")).stream().filter(l -> l.contains("target/lib-cluster/*"))
+                .findFirst().orElseThrow().trim();
+        assertEquals(List.of("calicostream: bad configuration: " + settings + ":43: clock.drift: '500', a whole number with one "
+                + "of the units ppm is needed, in quotes [cluster-config-wrong-unit]"), refused("exec " + command, settings));
+    }
+
+    private List<String> refused(String command, Path cluster) throws Exception {
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", command).redirectErrorStream(true);
+        builder.environment().put("NODE_CONFIG", Program.configure(folder, 0, 1, List.of(), 1024).toString());
+        builder.environment().put("NODE_CLUSTER", cluster.toString());
+        Process process = builder.start();
+        try {
+            List<String> said = process.inputReader(StandardCharsets.UTF_8).lines().toList();
+            assertEquals(2, process.waitFor());
+            return said;
+        } finally {
+            process.destroyForcibly().waitFor();
+        }
+    }
+
     /** The classes that {@code run}'s own command has loaded by the time it has answered a request and ended. */
     private Set<String> loaded(String deploy) throws Exception {
         Path log = folder.resolve("loaded");
