--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,4 @@
-.PHONY: build test lint run measure-flight measure-mass measure-deployments measure-durable
-.PHONY: build test lint run measure-flight measure-mass measure-durable prove-lease
-.PHONY: build test lint run measure-flight measure-mass measure-budget
+.PHONY: build test lint run measure-flight measure-mass measure-deployments measure-durable measure-budget prove-lease
 
 build:
 	mvn -q -DskipTests package
@@ -43,6 +41,7 @@
 prove-lease:
 	mvn -q -DskipTests package dependency:copy-dependencies -DincludeScope=test -DoutputDirectory=target/test-lib
 	timeout 600 java -Xmx1g -cp 'target/classes:target/test-classes:target/test-lib/*' calicostream.measure.ProveMeasure $(or $(SEED),1) $(or $(N),2000)
+
 # Session budgets in virtual time, with faults and steady, and what one decision costs; the last line holds the figures.
 measure-budget:
 	mvn -q -DskipTests package dependency:copy-dependencies -DincludeScope=test -DoutputDirectory=target/test-lib
--- a/src/main/java/calicostream/cluster/raft/Pace.java
+++ b/src/main/java/calicostream/cluster/raft/Pace.java
@@ -25,7 +25,7 @@
         this.startNanos = reactor.nanos();
     }
 
-    long libraryMillis(long millis) {
+    long raftMillis(long millis) {
         return millis * 1000 / heartbeatMillis;
     }
 
--- a/src/main/java/calicostream/cluster/raft/VoterNode.java
+++ b/src/main/java/calicostream/cluster/raft/VoterNode.java
@@ -98,7 +98,7 @@
                 .setConfig(RaftConfig.newBuilder().setLeaderHeartbeatPeriodSecs(1)
                         .setLeaderHeartbeatTimeoutSecs(settings.missed)
                         .setAppendEntriesRequestBatchSize(BATCH)
-                        .setLeaderElectionTimeoutMillis(Math.max(100, pace.libraryMillis(settings.electionMillis)))
+                        .setLeaderElectionTimeoutMillis(Math.max(100, pace.raftMillis(settings.electionMillis)))
                         .setCommitCountToTakeSnapshot(settings.snapshotEvery)
                         .setMaxPendingLogEntryCount(Math.max(2 * settings.queue, 128))
                         .setTransferSnapshotsFromFollowersEnabled(false).build())
