Cluster: a follower forgets a silent leader though a pre-vote is open

Four voters named leader 4.0 of term 3, silent for over 10 s; 4.0, restarted with a log up to 154 where three had 155, asked for pre-votes of term 4 for ever and was refused.

Ruled out: the followers' heartbeat task runs to the end, each second of the library (260 to 346 runs in those voters' last lives, no exception); the last heard heartbeat is not refreshed by pre-vote requests (it stood 200 heartbeats back); the store restores no leader; VoterNode's filter of requests for votes lets these voters ask.

Cause: in the library, a pre-vote that a voter had opened in term 3 stays open (preCandidateState) when the first append of the leader of that same term comes, and while it is open the heartbeat task does not doubt the leader. All four had it.

Not done by learners or those removed. Change has a file of its own, with the library's modes.

The directed test fails without the call.

--- a/src/main/java/calicostream/cluster/raft/VoterNode.java
+++ b/src/main/java/calicostream/cluster/raft/VoterNode.java
@@ -11,7 +11,6 @@
 import calicostream.cluster.Replicated;
 import calicostream.cluster.SessionKeeper;
 import calicostream.cluster.Timekeeper;
-import io.microraft.MembershipChangeMode;
 import io.microraft.Ordered;
 import io.microraft.QueryPolicy;
 import io.microraft.RaftConfig;
@@ -34,6 +33,8 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * A voter: the consensus library, the replicated machine, and the requests of members. Owned by its reactor's thread, on
@@ -56,8 +57,7 @@
     /** Entries of one append: of the largest ones, half a frame. */
     private static final int BATCH = Links.MAX_FRAME / (2 * Command.MAX_BODY) / 2;
 
-    /** A change of one voter. */
-    public enum Change { LEARN, PROMOTE, REMOVE }
+    private static final Logger LOG = LoggerFactory.getLogger(VoterNode.class);
 
     private final Settings settings;
     private final Reactor reactor;
@@ -66,6 +66,7 @@
     private final Map<String, Timekeeper> timekeepers;
     private final SessionKeeper keeper;
     private final Stepper stepper;
+    private final LeaderSilence silence;
     private final RaftNode raft;
     private final Consumer<Throwable> failed;
     private boolean stopped;
@@ -92,6 +93,7 @@
         this.failed = failed;
         this.keeper = new SessionKeeper(state, settings.heartbeatMillis * 1_000_000L);
         this.stepper = new Stepper(settings.self.member(), state, random, this::fail);
+        this.silence = new LeaderSilence(settings.self, 3 * settings.missed);
         this.nextId = random.nextLong();
         Pace pace = new Pace(reactor, settings.heartbeatMillis);
         RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder().setGroupId(Codec.GROUP)
@@ -218,11 +220,6 @@
      * holds.
      */
     public void change(Change change, Voter who, Consumer<ClusterException> done) {
-        MembershipChangeMode mode = switch (change) {
-            case LEARN -> MembershipChangeMode.ADD_LEARNER;
-            case PROMOTE -> MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER;
-            case REMOVE -> MembershipChangeMode.REMOVE_MEMBER;
-        };
         String what = change + " " + who;
         if (stopped || !leads()) {
             done.accept(new ClusterException.NotLeader(settings.self.member(), leader(), state.era()));
@@ -236,7 +233,7 @@
             done.accept(new ClusterException.BadChange(what, "too few voters would be left, add one first"));
             return;
         }
-        raft.changeMembership(who, mode, raft.getCommittedMembers().getLogIndex()).whenComplete((ok, error) ->
+        raft.changeMembership(who, change.mode, raft.getCommittedMembers().getLogIndex()).whenComplete((ok, error) ->
                 done.accept(error == null ? null : new ClusterException.BadChange(what, String.valueOf(error.getMessage()))));
     }
 
@@ -268,6 +265,11 @@
         if (isStopped()) {
             return;
         }
+        silence.beat(raft.getTerm()).filter(message -> mayLead()).ifPresent(message -> {
+            LOG.warn("voter {} forgets leader {} of term {}, silent for {} heartbeats", settings.self, leader(), term(),
+                    3 * settings.missed);
+            raft.handle(message);
+        });
         long now = reactor.nanos();
         if (leads()) {
             if (toldEra != state.era()) {
@@ -308,6 +310,7 @@
         if (frame instanceof Frame.Raft message) {
             RaftMessage decoded = Codec.message(message.message());
             if (((Voter) decoded.getSender()).member() == from) {
+                silence.heard(decoded);
                 raft.handle(decoded);
             }
         } else if (frame instanceof Frame.Request request) {
--- /dev/null
+++ b/src/test/java/calicostream/cluster/raft/LeaderSilenceTest.java
@@ -0,0 +1,156 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.cluster.raft;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import calicostream.cluster.Frame;
+import calicostream.cluster.Reactor;
+import calicostream.cluster.Replicated;
+import io.microraft.RaftEndpoint;
+import io.microraft.model.message.AppendEntriesRequest;
+import io.microraft.model.message.PreVoteRequest;
+import io.microraft.model.message.RaftMessage;
+import io.microraft.model.message.VoteRequest;
+import io.microraft.persistence.NopRaftStore;
+import io.microraft.report.RaftTerm;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** One voter with the library under it, whose peers are the test. */
+class LeaderSilenceTest {
+    private static final int BEAT = 50;
+    private static final Voter SELF = new Voter(1, 0);
+    private static final Voter LEADER = new Voter(2, 0);
+
+    private record Event(long at, long order, Runnable task) {
+    }
+
+    /** Virtual time. */
+    private static final class Hand implements Reactor {
+        private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) ->
+                a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+        private long now;
+        private long order;
+
+        @Override
+        public long nanos() {
+            return now;
+        }
+
+        @Override
+        public void execute(Runnable task) {
+            schedule(task, 0);
+        }
+
+        @Override
+        public void schedule(Runnable task, long delayNanos) {
+            events.add(new Event(now + delayNanos, order++, task));
+        }
+
+        void pass(int beats) {
+            long end = now + beats * BEAT * 1_000_000L;
+            while (!events.isEmpty() && events.peek().at <= end) {
+                Event event = events.poll();
+                now = event.at;
+                event.task.run();
+            }
+            now = end;
+        }
+    }
+
+    private final Hand hand = new Hand();
+    private final List<RaftMessage> sent = new ArrayList<>();
+    private VoterNode voter;
+
+    @BeforeEach
+    void start() {
+        System.setProperty("org.slf4j.simpleLogger.log.io.microraft", "off");
+        voter = new VoterNode(new VoterNode.Settings(SELF, List.of(SELF, LEADER, new Voter(3, 0)), BEAT, 5, 200, 16, 100), hand,
+                (to, frame) -> {
+                    if (Frame.decode(frame) instanceof Frame.Raft raft) {
+                        sent.add(Codec.message(raft.message()));
+                    }
+                }, new NopRaftStore(), Optional.empty(), new Replicated(Map.of()), Map.of(), new Random(1), why -> { });
+        voter.start();
+    }
+
+    private void receive(RaftMessage message) {
+        voter.received(LEADER.member(), new Frame.Raft(Codec.message(message)).encode());
+        hand.pass(0);
+    }
+
+    private static VoteRequest asksForVotes() {
+        return Codec.MODEL.createVoteRequestBuilder().setGroupId(Codec.GROUP).setSender(LEADER).setTerm(1).setLastLogTerm(0)
+                .setLastLogIndex(0).setSticky(false).build();
+    }
+
+    private static AppendEntriesRequest heartbeat() {
+        return Codec.MODEL.createAppendEntriesRequestBuilder().setGroupId(Codec.GROUP).setSender(LEADER).setTerm(1)
+                .setPreviousLogTerm(0).setPreviousLogIndex(0).setCommitIndex(0).setLogEntries(List.of())
+                .setQuerySequenceNumber(0).setFlowControlSequenceNumber(0).build();
+    }
+
+    /** Found by the simulation: the open pre-vote kept the library from ever doubting this leader. */
+    @Test
+    void aLeaderWhoseFirstWordOvertookAPreVoteIsForgottenOnceSilent() {
+        receive(asksForVotes());
+        hand.pass(10);
+        assertTrue(sent.get(sent.size() - 1) instanceof PreVoteRequest, sent::toString);
+        receive(heartbeat());
+        assertEquals(LEADER.member(), voter.leader());
+        sent.clear();
+        hand.pass(60);
+        assertEquals(0, voter.leader());
+        assertTrue(sent.stream().anyMatch(PreVoteRequest.class::isInstance), sent::toString);
+    }
+
+    @Test
+    void aLeaderThatIsHeardIsKept() {
+        receive(asksForVotes());
+        hand.pass(10);
+        for (int i = 0; i < 40; i++) {
+            receive(heartbeat());
+            hand.pass(3);
+        }
+        assertEquals(LEADER.member(), voter.leader());
+        assertEquals(1, voter.term());
+    }
+
+    /** Its requests for votes, of whatever term, are no sign of a leader. */
+    @Test
+    void onlyWhatALeaderSendsCounts() {
+        LeaderSilence silence = new LeaderSilence(SELF, 3);
+        List<Boolean> due = new ArrayList<>();
+        for (RaftMessage message : List.of(heartbeat(), heartbeat(), heartbeat(), asksForVotes(), asksForVotes())) {
+            silence.heard(message);
+            due.add(silence.beat(voterTerm()).isPresent());
+        }
+        assertEquals(List.of(false, false, false, false, true), due);
+    }
+
+    private static RaftTerm voterTerm() {
+        return new RaftTerm() {
+            @Override
+            public int getTerm() {
+                return 1;
+            }
+
+            @Override
+            public RaftEndpoint getLeaderEndpoint() {
+                return LEADER;
+            }
+
+            @Override
+            public RaftEndpoint getVotedEndpoint() {
+                return LEADER;
+            }
+        };
+    }
+}
--- a/src/test/java/calicostream/cluster/sim/SimCluster.java
+++ b/src/test/java/calicostream/cluster/sim/SimCluster.java
@@ -9,6 +9,7 @@
 import calicostream.cluster.MemberSession;
 import calicostream.cluster.Outcome;
 import calicostream.cluster.Replicated;
+import calicostream.cluster.raft.Change;
 import calicostream.cluster.raft.StoreOnLog;
 import calicostream.cluster.raft.Voter;
 import calicostream.cluster.raft.VoterNode;
@@ -459,7 +460,7 @@
             case ADD_VOTER -> addVoter(voter);
             case REMOVE_VOTER -> leading().ifPresent(host -> {
                 if (host.voter.voters().size() > 3 && host.voter.voters().contains(voter.name())) {
-                    change(host, VoterNode.Change.REMOVE, voter.name(), () -> { });
+                    change(host, Change.REMOVE, voter.name(), () -> { });
                 }
             });
             case AMNESIA -> {
@@ -488,7 +489,7 @@
         return hosts.stream().filter(host -> host.voter != null && host.voter.leads()).findFirst();
     }
 
-    private void change(Host leader, VoterNode.Change change, Voter who, Runnable then) {
+    private void change(Host leader, Change change, Voter who, Runnable then) {
         leader.voter.change(change, who, error -> {
             if (error == null) {
                 changes++;
@@ -508,11 +509,11 @@
                 host.runsVoter = true;
                 host.startVoter();
             }
-            Runnable promote = () -> change(leader, VoterNode.Change.PROMOTE, host.name(), () -> { });
+            Runnable promote = () -> change(leader, Change.PROMOTE, host.name(), () -> { });
             if (leader.voter.votersAndLearners().contains(name)) {
                 promote.run();
             } else {
-                change(leader, VoterNode.Change.LEARN, host.name(), promote);
+                change(leader, Change.LEARN, host.name(), promote);
             }
         });
     }
