A front end that can't hear SIGHUP takes a new configuration once its file changes

Change: Hangup tells that the signal is ignored; the program says so and looks at its configuration file four times a second (one stat, nothing opened); a changed file is read as on SIGHUP. Where the signal is heard, nothing changes. Test: started with the signal ignored, a half-written file costs nothing and the whole one moves the change log; without the change it never does. Files that run opens, threads: as before (RunTermsTest).

--- a/src/main/java/calicostream/Hangup.java
+++ b/src/main/java/calicostream/Hangup.java
@@ -9,8 +9,10 @@
  * Java's standard, and the compiler warns of its mere name, so it is looked up.
  */
 final class Hangup {
+    private static final String IGNORED = "SIG_IGN";
     private Runnable told;
     private boolean missed;
+    private boolean deaf;
 
     private Hangup() { }
 
@@ -26,14 +28,23 @@
                         }
                         return null;
                     });
-            signal.getMethod("handle", signal, handler).invoke(null,
+            Object before = signal.getMethod("handle", signal, handler).invoke(null,
                     signal.getConstructor(String.class).newInstance("HUP"), told);
+            hangup.deaf = handler.getField(IGNORED).get(null).equals(before);
         } catch (ReflectiveOperationException e) {
             throw new SettingsException("this Java can't take SIGHUP: " + e);
         }
         return hangup;
     }
 
+    /**
+     * Whether whoever started the program had the signal ignored (nohup does). A virtual machine leaves it so, whatever it
+     * is asked, and the program never hears of it.
+     */
+    boolean isDeaf() {
+        return deaf;
+    }
+
     private synchronized void came() {
         if (told == null) {
             missed = true;
--- a/src/main/java/calicostream/Main.java
+++ b/src/main/java/calicostream/Main.java
@@ -3,6 +3,7 @@
 
 import calicostream.adapter.Adapter;
 import calicostream.daemon.Composition;
+import calicostream.platform.ConfigWatch;
 import calicostream.platform.Node;
 import calicostream.platform.NodeConfig;
 import java.io.IOException;
@@ -46,10 +47,15 @@
             if (path == null) {
                 throw new SettingsException("bad configuration: NODE_CONFIG is not set");
             }
+            Path file = Path.of(path);
+            ConfigWatch watch = hangup.isDeaf() ? new ConfigWatch(file) : null; // Before the file is read.
             Path deploy = Path.of(System.getProperty("calicostream.deploy", "deploy"));
-            Node node = Composition.node(NodeConfig.read(Path.of(path)), deploy,
+            Node node = Composition.node(NodeConfig.read(file), deploy,
                     named("TMPDIR"), named("NODE_CLUSTER")); // TMPDIR: where processes of this front end find each other
-            hangup.tell(() -> node.reload(Path.of(path)));
+            hangup.tell(() -> node.reload(file));
+            if (watch != null) {
+                node.follow(watch);
+            }
             node.run();
         } catch (SettingsException e) {
             System.err.println("calicostream: " + e.getMessage());
--- a/src/main/java/calicostream/platform/Node.java
+++ b/src/main/java/calicostream/platform/Node.java
@@ -29,6 +29,7 @@
     private static final long MARGIN = 500_000; // us before SIGKILL, which may come 0.1 s before SERVE_ON's end
     private static final long LAST_WORDS = 150_000; // us for the last answers to go out
     private static final long LOOK_AGAIN = 20_000;
+    private static final long LOOK_AT_FILE = 250_000; // us between looks at the configuration where SIGHUP is not heard
     private static final long LOOK = 100_000; // us between looks at the other process's word
     private static final long CATCH_UP = 1_500_000; // us at most to hear of the engines what the other process knows
     private static final long LIST_AWAITED = 8_000_000; // us at most, past the 7 s after which its word counts anyway
@@ -107,6 +108,22 @@
         });
     }
 
+    /**
+     * Off the loop's thread, where SIGHUP can't be heard: reads the configuration anew whenever its file has changed. One
+     * that is read half written can't be used, and is read again once it has changed further.
+     */
+    public void follow(ConfigWatch watch) {
+        LOG.warn("SIGHUP is ignored by whoever started this process: a new configuration is taken once its file changes");
+        loop.post(() -> look(watch));
+    }
+
+    private void look(ConfigWatch watch) {
+        if (watch.hasChanged()) {
+            reload(watch.file());
+        }
+        loop.deadlines().add(loop.clock().now() + LOOK_AT_FILE, (now, ref) -> look(watch), 0);
+    }
+
     /** Serves until SIGTERM and what was taken by then is answered. */
     public void run() throws IOException {
         Runtime.getRuntime().addShutdownHook(new Thread(this::terminate, "terminate"));
--- a/src/test/java/calicostream/wire/ConfigurationTest.java
+++ b/src/test/java/calicostream/wire/ConfigurationTest.java
@@ -34,6 +34,28 @@
         assertTrue(said.get(0).startsWith("calicostream: bad "), said.get(0));
     }
 
+    /** As nohup starts it: the new file is taken all the same, also after one that can't be used. */
+    @Test
+    void fileThatChangesIsReadWhereTheSignalIsIgnored() throws Exception {
+        try (ChangeLogStand log = new ChangeLogStand(); ChangeLogStand log2 = new ChangeLogStand();
+                RespStand engine = new RespStand()) {
+            List<String> engines = List.of(Program.endpoint("e1", engine.address(), "Ready", 0));
+            Path config = Program.configure(folder, 0, log.port(), engines, 1024);
+            try (Program program = Program.deaf(folder, config)) {
+                program.awaitLine("SIGHUP is ignored");
+                assertEquals("1", log.follow());
+                program.awaitLine("listens on port");
+                String whole = Files.readString(Program.configure(folder, 0, log2.port(), engines, 1024));
+                Files.writeString(config, whole.substring(0, whole.length() / 2));
+                program.awaitLine("the configuration stays as it was");
+                program.hangUp(); // Changes nothing: it is not heard.
+                Files.writeString(config, whole);
+                program.awaitLine("configuration read anew");
+                assertEquals("1", log2.follow());
+            }
+        }
+    }
+
     @Test
     void bothFormsOfTheSettingsReadAlike() {
         String lines = "balancers=2\nstats.columns=util,inflight\nstats.how=inline\nlanes.count=1\nlanes.0.name=a_b\n"
--- a/src/test/java/calicostream/wire/Program.java
+++ b/src/test/java/calicostream/wire/Program.java
@@ -74,6 +74,16 @@
         log = process.inputReader(StandardCharsets.UTF_8);
     }
 
+    private Program(Process process) {
+        this.process = process;
+        log = process.inputReader(StandardCharsets.UTF_8);
+    }
+
+    /** The program started with SIGHUP ignored, as nohup does it. */
+    public static Program deaf(Path folder, Path config) throws IOException {
+        return new Program(launch(folder, config, "/bin/sh", "-c", "trap '' HUP; exec \"$0\" \"$@\""));
+    }
+
     /** Writes the configuration file, also in place of an earlier one. */
     public static Path configure(Path folder, int port, int changelogPort, List<String> endpoints, int sockets)
             throws IOException {
@@ -84,8 +94,9 @@
     }
 
     /** Starts the program on any configuration file. */
-    public static Process launch(Path folder, Path config) throws IOException {
-        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java")
+    public static Process launch(Path folder, Path config, String... by) throws IOException {
+        List<String> command = new ArrayList<>(List.of(by));
+        command.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java")
                 .toString(), "-XX:+UseSerialGC", "-Xmx96m", "--add-opens=java.base/java.nio=ALL-UNNAMED",
                 "-Dcalicostream.deploy=" + folder, "-cp", System.getProperty("java.class.path"), "calicostream.Main",
                 "serve"));
