Cluster: a member runs in the front end's process, with signs and operators' words

NODE_CLUSTER was read and then warned of, as no member ran. Now Member opens the folder (one a generation) and the address, runs a voter or joiner, links and session on a thread of its own, composes the layers that ClusterPart lists (leases so far), tells its state at /-/cluster of the operators' address, takes their words there, and stops as planned on SIGTERM. Settings have generation, marks, members and links.

--- a/src/main/java/calicostream/admin/AdminFront.java
+++ b/src/main/java/calicostream/admin/AdminFront.java
@@ -28,6 +28,7 @@
     private static final long SPEAKS = 100_000; // us in which a caller surely has begun to
     private static final Pattern LINE = Pattern.compile("([A-Z]+) (/\\S*) HTTP/1\\.\\d");
     private static final Pattern ENGINE = Pattern.compile("/-/engines/([^/]+)/(disable|enable)");
+    private static final Pattern PART = Pattern.compile("/-/([a-z]+)(?:/(.+))?");
     private final Loop loop;
     private final Operator operator;
     private final Set<Caller> callers = new LinkedHashSet<>(); // the oldest first
@@ -88,7 +89,7 @@
             return method.equals("POST") ? setAside(engine.group(1), engine.group(2)) : notAllowed("POST");
         }
         if (!path.equals("/-/ready") && !path.equals("/-/metrics")) {
-            return Reply.text(404, "Not Found");
+            return part(method, path);
         }
         if (!method.equals("GET")) {
             return notAllowed("GET");
@@ -99,6 +100,24 @@
         return operator.isReady() ? Reply.text(200, "OK") : Reply.text(503, "Service Unavailable");
     }
 
+    /** What a part of the program that is on tells, and words to it. */
+    private Reply part(String method, String path) {
+        Matcher part = PART.matcher(path);
+        String signs = part.matches() ? operator.signs(part.group(1)) : null;
+        if (signs == null) {
+            return Reply.text(404, "Not Found");
+        }
+        if (part.group(2) == null) {
+            return method.equals("GET") ? new Reply(200, "OK", "application/json", signs + "\n", "") : notAllowed("GET");
+        }
+        if (!method.equals("POST")) {
+            return notAllowed("POST");
+        }
+        String refusal = operator.tell(part.group(1), part.group(2));
+        return refusal == null ? Reply.text(404, "Not Found") : refusal.isEmpty() ? Reply.text(202, "Accepted")
+                : new Reply(409, "Conflict", "text/plain", refusal + "\n", "");
+    }
+
     private static Reply notAllowed(String allowed) {
         return new Reply(405, "Method Not Allowed", "text/plain", "Method Not Allowed\n", "Allow: " + allowed + "\r\n");
     }
--- a/src/main/java/calicostream/admin/Operator.java
+++ b/src/main/java/calicostream/admin/Operator.java
@@ -13,4 +13,10 @@
     boolean disable(String engine);
 
     boolean enable(String engine);
+
+    /** What a part that is on tells of itself, as a JSON object; null where none that is on has this name, or it tells nothing. */
+    String signs(String part);
+
+    /** Words to a part that is on: null where there is none that knows them, empty where it took them, else why not. */
+    String tell(String part, String words);
 }
--- a/src/main/java/calicostream/cluster/config/ClusterConfig.java
+++ b/src/main/java/calicostream/cluster/config/ClusterConfig.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
  * The cluster as one of its members is told it; {@code docs/operate/cluster-settings.md} has every key. Immutable, and
@@ -18,12 +19,17 @@
  *
  * @param cluster name of the cluster, the same at all members
  * @param self this member, also where it is none of the first voters
+ * @param generation of this member as a voter: raised by one when its folder is lost or has forgotten
  * @param data the folder that is this member's alone
+ * @param marks where its marks are: the same folder, or better one on another device
  * @param voters those that the cluster begins with
+ * @param members others that this one is to reach, none of the first voters
+ * @param links where this member reaches another one, by its number, if not at that one's own address
  * @param driftPpm how far any clock may run from real time
  */
-public record ClusterConfig(String cluster, Member self, Path data, List<Member> voters, Raft raft, Session session,
-        Duration leaseTtl, int driftPpm, Disk disk) {
+public record ClusterConfig(String cluster, Member self, int generation, Path data, Path marks, List<Member> voters,
+        List<Member> members, Map<Integer, InetSocketAddress> links, Raft raft, Session session, Duration leaseTtl, int driftPpm,
+        Disk disk) {
     private static final long SYNC_WARNING = 500_000_000; // ns, unless a leader is doubted sooner than after twice that
     private static final String NAME = "[A-Za-z0-9][A-Za-z0-9._-]{0,62}";
 
@@ -44,6 +50,14 @@
         return voters.contains(self);
     }
 
+    /** Where this member finds each other one that it knows, by number. */
+    public Map<Integer, InetSocketAddress> peers() {
+        Map<Integer, InetSocketAddress> out = new HashMap<>();
+        Stream.concat(voters.stream(), members.stream()).filter(each -> each.number != self.number)
+                .forEach(each -> out.put(each.number, links.getOrDefault(each.number, each.address)));
+        return Map.copyOf(out);
+    }
+
     /** The whole file, where it has nothing but these sections; empty where it leaves the cluster off. */
     public static Optional<ClusterConfig> read(Path path) {
         SettingsFile file = SettingsFile.read(path);
@@ -59,13 +73,22 @@
         if (!file.top().flag("enabled", false)) {
             return Optional.empty();
         }
-        List<Member> voters = voters(file);
+        Map<Object, String> known = new HashMap<>();
+        List<Member> voters = members(file, "voters", known);
+        if (voters.size() != 3 && voters.size() != 5) {
+            throw file.top().wrong(voters.isEmpty() ? Code.MISSING_KEY : Code.IMPOSSIBLE, "voters",
+                    voters.size() + " voters, 3 or 5 needed");
+        }
+        List<Member> members = members(file, "members", known);
         Section member = file.section("member");
         Section clock = file.section("clock");
         Section lease = file.section("lease");
         Raft raft = raft(file.section("raft"));
-        return Optional.of(new ClusterConfig(name(file.section("cluster"), "name"), self(member, voters), member.path("data"),
-                voters, raft, session(file.section("session"), raft), lease.span("ttl", "5s", "1s", "1h"),
+        Member self = self(member, voters, members);
+        Path data = member.path("data");
+        return Optional.of(new ClusterConfig(name(file.section("cluster"), "name"), self,
+                member.count("generation", 0, 0, 1 << 20), data, member.has("marks") ? member.path("marks") : data, voters, members,
+                links(file, self, voters, members), raft, session(file.section("session"), raft), lease.span("ttl", "5s", "1s", "1h"),
                 clock.ppm("drift", "500ppm", "500ppm", "100000ppm"), disk(file.section("disk"), raft)));
     }
 
@@ -78,30 +101,48 @@
         return name;
     }
 
-    private static List<Member> voters(SettingsFile file) {
+    /** @param known what is taken, by whom, so far */
+    private static List<Member> members(SettingsFile file, String array, Map<Object, String> known) {
         List<Member> out = new ArrayList<>();
-        Map<Object, String> known = new HashMap<>();
-        for (Section each : file.sections("voters")) {
-            Member voter = new Member(name(each, "name"), each.count("number", null, 1, 1 << 20), each.address("address", null));
-            if (voter.address == null) {
+        for (Section each : file.sections(array)) {
+            Member member = new Member(name(each, "name"), each.count("number", null, 1, 1 << 20), each.address("address", null));
+            if (member.address == null) {
                 throw each.wrong(Code.MISSING_KEY, "address", "it is needed");
             }
-            unlike(each, "name", voter.name, voter.name, known);
-            unlike(each, "number", voter.number, voter.name, known);
-            unlike(each, "address", voter.address, voter.name, known);
-            out.add(voter);
-        }
-        if (out.size() != 3 && out.size() != 5) {
-            throw file.top().wrong(out.isEmpty() ? Code.MISSING_KEY : Code.IMPOSSIBLE, "voters",
-                    out.size() + " voters, 3 or 5 needed");
+            String who = (array.equals("voters") ? "voter " : "member ") + member.name;
+            unlike(each, "name", member.name, who, known);
+            unlike(each, "number", member.number, who, known);
+            unlike(each, "address", member.address, who, known);
+            out.add(member);
         }
         return List.copyOf(out);
     }
 
+    private static Map<Integer, InetSocketAddress> links(SettingsFile file, Member self, List<Member> voters,
+            List<Member> members) {
+        Map<Integer, InetSocketAddress> out = new HashMap<>();
+        for (Section each : file.sections("links")) {
+            String name = name(each, "to");
+            InetSocketAddress via = each.address("via", null);
+            if (via == null) {
+                throw each.wrong(Code.MISSING_KEY, "via", "it is needed");
+            }
+            Member to = Stream.concat(voters.stream(), members.stream()).filter(m -> m.name.equals(name)).findFirst()
+                    .orElseThrow(() -> each.wrong(Code.OUT_OF_RANGE, "to", "'" + name + "' is none of the voters and members"));
+            if (to.number == self.number) {
+                throw each.wrong(Code.IMPOSSIBLE, "to", "'" + name + "' is this member itself, member.name says");
+            }
+            if (out.put(to.number, via) != null) {
+                throw each.wrong(Code.OVERLAP, "to", "'" + name + "' has a link already");
+            }
+        }
+        return Map.copyOf(out);
+    }
+
     private static void unlike(Section section, String key, Object value, String name, Map<Object, String> known) {
         String other = known.putIfAbsent(value, name);
         if (other != null) {
-            throw section.wrong(Code.OVERLAP, key, text(value) + " is voter " + other + "'s");
+            throw section.wrong(Code.OVERLAP, key, text(value) + " is " + other + "'s");
         }
     }
 
@@ -109,30 +150,32 @@
         return value instanceof InetSocketAddress at ? at.getAddress().getHostAddress() + ":" + at.getPort() : "'" + value + "'";
     }
 
-    /** A voter's number and address are in its entry; another member has its own, which are no voter's. */
-    private static Member self(Section section, List<Member> voters) {
+    /** The number and address of a voter, or of another member that is listed, are in its entry; who is not has its own. */
+    private static Member self(Section section, List<Member> voters, List<Member> members) {
         String name = name(section, "name");
-        Optional<Member> voter = voters.stream().filter(v -> v.name.equals(name)).findFirst();
-        if (voter.isEmpty() && !section.has("number") && !section.has("listen")) {
+        List<Member> all = Stream.concat(voters.stream(), members.stream()).toList();
+        Optional<Member> entry = all.stream().filter(v -> v.name.equals(name)).findFirst();
+        if (entry.isEmpty() && !section.has("number") && !section.has("listen")) {
             throw section.wrong(Code.MISSING_KEY, "name", "'" + name + "' is none of the voters "
                     + String.join(", ", voters.stream().map(Member::name).toList())
                     + "; a member that is none has member.number and member.listen");
         }
-        Integer number = voter.map(Member::number).orElse(null);
-        InetSocketAddress address = section.address("listen", voter.map(Member::address).orElse(null));
+        Integer number = entry.map(Member::number).orElse(null);
+        InetSocketAddress address = section.address("listen", entry.map(Member::address).orElse(null));
         if (address == null) {
             throw section.wrong(Code.MISSING_KEY, "listen", "it is needed for a member that is no voter");
         }
         Member out = new Member(name, section.count("number", number, 1, 1 << 20), address);
-        if (voter.isPresent() && !voter.get().equals(out)) {
+        if (entry.isPresent() && !entry.get().equals(out)) {
             String key = out.number != number ? "number" : "listen";
-            throw section.wrong(Code.OVERLAP, key, "voter " + name + " has another one in its own entry");
+            throw section.wrong(Code.OVERLAP, key, (voters.contains(entry.get()) ? "voter " : "member ") + name
+                    + " has another one in its own entry");
         }
-        for (Member each : voters) {
-            if (voter.isEmpty() && (each.number == out.number || each.address.equals(out.address))) {
+        for (Member each : all) {
+            if (entry.isEmpty() && (each.number == out.number || each.address.equals(out.address))) {
                 Object same = each.number == out.number ? out.number : out.address;
-                throw section.wrong(Code.OVERLAP, each.number == out.number ? "number" : "listen", text(same) + " is voter "
-                        + each.name + "'s");
+                throw section.wrong(Code.OVERLAP, each.number == out.number ? "number" : "listen", text(same) + " is "
+                        + (voters.contains(each) ? "voter " : "member ") + each.name + "'s");
             }
         }
         return out;
--- /dev/null
+++ b/src/main/java/calicostream/cluster/process/Member.java
@@ -0,0 +1,384 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.cluster.process;
+
+import calicostream.cluster.ClusterException;
+import calicostream.cluster.Frame;
+import calicostream.cluster.Machine;
+import calicostream.cluster.MemberSession;
+import calicostream.cluster.Outcome;
+import calicostream.cluster.Replicated;
+import calicostream.cluster.Timekeeper;
+import calicostream.cluster.config.ClusterConfig;
+import calicostream.cluster.raft.StoreOnLog;
+import calicostream.cluster.raft.Voter;
+import calicostream.cluster.raft.VoterNode;
+import calicostream.cluster.tcp.LoopReactor;
+import calicostream.cluster.tcp.TcpLinks;
+import calicostream.core.Clock;
+import calicostream.core.Deadlines;
+import calicostream.durable.DurableException;
+import calicostream.durable.DurableLog;
+import calicostream.net.Loop;
+import io.microraft.RaftEndpoint;
+import java.io.IOException;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A member of the cluster on a thread of its own, which owns all its state. {@link #start} opens the folder and the address
+ * and throws what must end the program; nothing that fails later does: the member says so in its signs, and the process
+ * around it goes on. {@link #signs}, {@link #tell}, {@link #stop} and {@link #awaitEnd} may be called by any thread, the
+ * first three never wait.
+ */
+public final class Member {
+    private static final Logger LOG = LoggerFactory.getLogger(Member.class);
+    private static final long MILLI = 1_000_000L;
+    private static final long GRACE = 1_500 * MILLI; // of a planned stop
+    private static final long LAST_WORDS = 50 * MILLI; // for what was sent last to leave the process
+    private static final long SIGNS = 100 * MILLI; // between two looks at what operators are told
+    private static final long WISH_STEP = 200 * MILLI;
+    private static final long WISH_LONGEST = 60_000 * MILLI;
+
+    private final ClusterConfig config;
+    private final Voter self;
+    private final List<Layer> layers;
+    private final Map<String, Layer> layersByName = new TreeMap<>();
+    private final Loop loop;
+    private final LoopReactor reactor;
+    private final DurableLog log;
+    private final TcpLinks links;
+    private final Replicated state;
+    private final Start start;
+    private final VoterNode voter; // null where the start is barred
+    private final MemberSession session;
+    private final KnownVoters known;
+    private final QuorumWatch quorum;
+    private final Map<Integer, Long> heardAt = new HashMap<>();
+    private final long tickNanos;
+    private final Thread thread;
+    private boolean admitted;
+    private String failure = "";
+    private long sessionSeen;
+    private long sessionSince;
+    private long signsAt;
+    private WishRun wish;
+    private PlannedStop stop;
+    private volatile Signs signs;
+
+    private Member(ClusterConfig config, List<Layer> layers, Disks disks) throws IOException {
+        this.config = config;
+        this.layers = List.copyOf(layers);
+        layers.forEach(layer -> layersByName.put(layer.name(), layer));
+        self = new Voter(config.self().number(), config.generation());
+        loop = new Loop(new Clock(), new Deadlines());
+        reactor = new LoopReactor(loop);
+        quorum = new QuorumWatch(reactor.nanos());
+        tickNanos = Math.max(5 * MILLI, Math.min(50 * MILLI, config.session().retry().toNanos() / 10));
+        SecureRandom random = new SecureRandom();
+        log = Folder.open(config, disks);
+        boolean open = false;
+        try {
+            var restored = StoreOnLog.restored(log.recovered());
+            start = Start.of(config.isVoter(), self,
+                    restored.map(found -> (Voter) found.getLocalEndpointPersistentState().getLocalEndpoint()), log.recovered().own());
+            links = new TcpLinks(loop, config.cluster(), self.member(), config.self().address(), config.peers(), this::received);
+            Map<String, Machine> machines = new TreeMap<>();
+            Map<String, Timekeeper> timekeepers = new TreeMap<>();
+            layersByName.forEach((name, layer) -> {
+                machines.put(name, layer.machine());
+                layer.timekeeper().ifPresent(timekeeper -> timekeepers.put(name, timekeeper));
+            });
+            state = new Replicated(machines);
+            List<Voter> first = config.voters().stream().map(each -> new Voter(each.number(), 0)).toList();
+            ClusterConfig.Raft raft = config.raft();
+            voter = !start.runsVoter() ? null : new VoterNode(new VoterNode.Settings(self, first, (int) raft.heartbeat().toMillis(),
+                    raft.missed(), (int) raft.election().toMillis(), raft.queue(), raft.snapshotEvery()), reactor, links,
+                    new StoreOnLog(log), restored, state, timekeepers, new Random(random.nextLong()), this::failed);
+            open = true;
+        } finally {
+            if (!open) {
+                log.close();
+            }
+        }
+        admitted = log.recovered().own().standing() != calicostream.durable.Amnesia.Standing.FRESH;
+        known = new KnownVoters(config.voters().stream().map(ClusterConfig.Member::number)
+                .filter(each -> start.runsVoter() || each != self.member()).toList());
+        session = new MemberSession(new MemberSession.Settings(self.member(), (int) config.session().ttl().toMillis(),
+                (int) config.session().retry().toMillis(), config.session().queue()), known.numbers(), random.nextLong());
+        signs = look(reactor.nanos());
+        thread = new Thread(this::run, "cluster-" + config.self().name());
+        thread.setDaemon(true);
+    }
+
+    /**
+     * Opens all that the member needs and lets it run.
+     *
+     * @throws MemberException if the folder or the address can't be had, or must not be used
+     */
+    public static Member start(ClusterConfig config, List<Layer> layers) throws IOException {
+        Member member;
+        try {
+            member = new Member(config, layers, Disks.chosen());
+        } catch (DurableException e) {
+            throw MemberException.of(e);
+        } catch (java.net.BindException e) {
+            throw new MemberException("member-address-taken", config.self().address() + ": " + e.getMessage(),
+                    "see which process listens there, or give the member another address, at all members");
+        }
+        member.thread.start();
+        return member;
+    }
+
+    /** The signs as a JSON object; as of some moments ago. */
+    public String signs() {
+        return SignsJson.of(config, signs);
+    }
+
+    /** The port of the cluster's address. */
+    public int port() {
+        return config.self().address().getPort();
+    }
+
+    /**
+     * Operators' words: null where they are none that a member knows, empty where they were taken, and how they fare is
+     * in the signs; else why not.
+     */
+    public String tell(String words) {
+        try {
+            Wish wanted = Wish.of(words, signs).orElse(null);
+            if (wanted == null) {
+                return null;
+            }
+            if (!signs.wish().isEmpty() && signs.wish().contains(": under way")) {
+                throw new ClusterException.BadChange(words, "another wish is under way: " + signs.wish());
+            }
+            LOG.info("{}: operators ask for {}", self, words);
+            loop.post(() -> wish = new WishRun(wanted, reactor.nanos(), WISH_STEP, WISH_LONGEST));
+            return "";
+        } catch (ClusterException e) {
+            return e.getMessage() + "; " + e.remedy();
+        }
+    }
+
+    /** Begins the planned stop; a second call changes nothing. */
+    public void stop() {
+        loop.post(() -> {
+            if (stop == null) {
+                stop = new PlannedStop(reactor.nanos(), GRACE, LAST_WORDS);
+                layers.forEach(layer -> guarded(layer, Layer::stopping));
+                tick();
+            }
+        });
+    }
+
+    /** Waits until the planned stop is over, for a bounded time. */
+    public void awaitEnd() throws InterruptedException {
+        thread.join(2 * GRACE / MILLI);
+    }
+
+    private void run() {
+        loop.post(() -> {
+            log.recovered().findings().forEach(finding -> LOG.warn("{}: {}", self, finding));
+            tell(null, signs);
+            layers.forEach(layer -> guarded(layer, each -> each.joins(session, reactor::nanos)));
+            if (voter != null) {
+                voter.start();
+            }
+            tick();
+        });
+        try {
+            loop.run();
+        } catch (IOException | RuntimeException | Error e) {
+            LOG.error("{}: its thread ended", self, e);
+            failure = e.toString();
+        } finally {
+            Signs last = signs.as(Signs.State.DOWN, failure);
+            tell(signs, last);
+            signs = last;
+            log.close();
+        }
+    }
+
+    private void received(int from, byte[] bytes) {
+        Frame frame = Frame.decode(bytes);
+        long now = reactor.nanos();
+        heardAt.put(from, now);
+        if (frame instanceof Frame.Reply reply) {
+            if (reply.outcome().accepted() && reply.ageNanos() == 0) {
+                quorum.heard(now);
+            } else if (reply.outcome().kind() == Outcome.Kind.FAILED
+                    && reply.outcome().error() instanceof ClusterException.NotLeader other && known.named(other.leader())) {
+                session.voters(known.numbers());
+            }
+            session.received(from, reply, now);
+            flush(now);
+        }
+        if (voter != null) {
+            voter.received(from, bytes);
+        }
+    }
+
+    private void flush(long now) {
+        session.tick(now).forEach(send -> links.send(send.voter(), send.frame()));
+    }
+
+    private void tick() {
+        long now = reactor.nanos();
+        if (stop != null && stopped(now)) {
+            return;
+        }
+        reactor.schedule(this::tick, stop == null ? tickNanos : 5 * MILLI);
+        for (Replicated.News news : state.takeNews()) {
+            Layer layer = layersByName.get(news.machine());
+            if (layer != null) {
+                guarded(layer, each -> each.news(news.index(), news.event()));
+            }
+        }
+        layers.forEach(layer -> guarded(layer, Layer::tick));
+        flush(now);
+        if (voter != null) {
+            voter.ageNanos().ifPresent(age -> quorum.heard(now - age));
+            granted(now);
+        }
+        if (session.session() != sessionSeen) {
+            sessionSeen = session.session();
+            sessionSince = now;
+        }
+        if (now - signsAt >= 0) {
+            signsAt = now + SIGNS;
+            publish(now);
+        }
+    }
+
+    private void publish(long now) {
+        Signs next = look(now);
+        tell(signs, next);
+        signs = next;
+        if (next.state() == Signs.State.VOTER || next.state() == Signs.State.LEARNER) {
+            if (next.applied() > 0 && known.are(next.voters().stream().map(Voter::member).sorted().toList())) {
+                session.voters(known.numbers());
+            }
+            if (next.state() == Signs.State.VOTER && next.applied() > 0 && !admitted) {
+                admitted = true;
+                try {
+                    log.admit();
+                } catch (DurableException e) {
+                    failed(e);
+                }
+            }
+        }
+    }
+
+    private void tell(Signs before, Signs next) {
+        for (Telling.Line line : Telling.of(before, next)) {
+            if (line.warn()) {
+                LOG.warn("cluster {}: {}", config.cluster(), line.text());
+            } else {
+                LOG.info("cluster {}: {}", config.cluster(), line.text());
+            }
+        }
+    }
+
+    /** Takes the next step of what operators wish. */
+    private void granted(long now) {
+        if (wish == null || !wish.isDue(now, voter.leads(), voter.leader(), voters(voter.voters()), learners())) {
+            return;
+        }
+        WishRun run = wish;
+        if (run.wish() instanceof Wish.Voters change) {
+            voter.towards(change.wanted(), error -> run.stepEnded(error == null ? "" : error.getMessage()));
+        } else if (run.wish() instanceof Wish.Lead lead) {
+            voter.handOver(lead.to());
+        }
+    }
+
+    /** Whether the planned stop is over. */
+    private boolean stopped(long now) {
+        boolean leads = voter != null && voter.leads();
+        List<Integer> others = new ArrayList<>(known.numbers());
+        others.remove((Integer) self.member());
+        others.sort(Comparator.comparingLong((Integer each) -> now - heardAt.getOrDefault(each, now - GRACE)));
+        switch (stop.next(now, session.waiting(), leads, others)) {
+            case CLOSE_SESSION -> {
+                session.close();
+                flush(now);
+            }
+            case HAND_OVER -> voters(voter.voters()).stream().filter(each -> each.member() == stop.to()).findFirst()
+                    .ifPresent(voter::handOver);
+            case END -> {
+                end();
+                return true;
+            }
+            case WAIT -> { }
+        }
+        return false;
+    }
+
+    private void end() {
+        if (voter != null) {
+            voter.stop();
+        }
+        links.close();
+        loop.stop();
+    }
+
+    /** The voter stopped by itself; the session goes on by the others. */
+    private void failed(Throwable why) {
+        boolean known = why instanceof DurableException || why instanceof ClusterException;
+        failure = known ? why.getMessage() : new ClusterException.VoterStopped(self.member(), why.toString()).getMessage();
+        signsAt = reactor.nanos();
+        if (!known) {
+            LOG.error("{}: its voter stopped", self, why);
+        }
+    }
+
+    private Signs look(long now) {
+        var disk = log.status();
+        List<Voter> voters = voter == null ? List.of() : voters(voter.voters());
+        List<Voter> learners = voter == null ? List.of() : learners();
+        Signs.State at = stop != null ? Signs.State.STOPPING : !failure.isEmpty() ? Signs.State.FAILED
+                : voter == null ? Signs.State.BARRED : voter.isStopped() ? Signs.State.REMOVED
+                : voters.contains(self) ? Signs.State.VOTER : learners.contains(self) ? Signs.State.LEARNER : Signs.State.SPARE;
+        boolean copy = at == Signs.State.VOTER || at == Signs.State.LEARNER;
+        long ttl = config.session().ttl().toNanos();
+        long doubt = config.raft().heartbeat().toNanos() * config.raft().missed() + config.raft().election().toNanos();
+        long limit = copy ? doubt : Math.max(doubt, ttl / 4 + 2 * config.session().retry().toNanos());
+        Map<String, String> figures = new TreeMap<>();
+        layers.forEach(layer -> guarded(layer, each -> figures.put(each.name(), each.figures())));
+        return new Signs(at, at == Signs.State.FAILED ? failure : at == Signs.State.BARRED ? start.why() : "", self,
+                voter == null ? 0 : voter.leader(), voter != null && voter.leads(), voter == null ? 0 : voter.term(), state.era(),
+                state.applied(), voters, learners, quorum.missingMillis(now, limit),
+                voter == null ? -1 : voter.ageNanos().map(age -> age / MILLI).orElse(-1L), voter == null ? 0 : voter.proposed(),
+                session.waiting(), session.session(), session.isAlive(now),
+                session.session() == 0 ? 0 : (now - sessionSince) / MILLI, disk, (now - disk.sinceNanos()) / MILLI,
+                links.figures(), wish == null ? "" : wish.words(), Map.copyOf(figures));
+    }
+
+    private List<Voter> learners() {
+        List<Voter> all = new ArrayList<>(voters(voter.votersAndLearners()));
+        all.removeAll(voters(voter.voters()));
+        return List.copyOf(all);
+    }
+
+    private static List<Voter> voters(Collection<RaftEndpoint> endpoints) {
+        return endpoints.stream().map(Voter.class::cast).sorted(Comparator.comparingInt(Voter::member)).toList();
+    }
+
+    private void guarded(Layer layer, Consumer<Layer> call) {
+        try {
+            call.accept(layer);
+        } catch (RuntimeException e) {
+            LOG.error("{}: layer {}", self, layer.name(), e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/calicostream/cluster/process/Start.java
@@ -0,0 +1,51 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.cluster.process;
+
+import calicostream.cluster.raft.Voter;
+import calicostream.durable.Amnesia;
+import java.util.Optional;
+
+/**
+ * As what a member starts, by its settings and by what its folder says; pure. A folder is one generation's, so that a member
+ * whose folder forgot is somebody new with an empty one once its generation is raised.
+ */
+record Start(As as, String why) {
+    /** The ways to start. */
+    enum As {
+        /** One of the first voters, and it has promised nothing yet. */
+        FOUNDER,
+        /** It was in the group, or was to be, and remembers all that it promised. */
+        RETURNING,
+        /** Nobody yet; it follows and votes once an operator has it added. */
+        JOINER,
+        /** It forgot, or may have: it runs no voter, only its session at the other members. */
+        BARRED
+    }
+
+    /**
+     * @param founder whether the settings name it among the first voters
+     * @param stored as whom it last ran with this folder
+     * @throws MemberException if the folder was another voter's
+     */
+    static Start of(boolean founder, Voter self, Optional<Voter> stored, Amnesia.Own own) {
+        if (stored.isPresent() && !stored.get().equals(self)) {
+            throw new MemberException("member-folder-of-another", "the folder is voter " + stored.get() + "'s, this is " + self,
+                    "give the member its own number and folder back, or an empty folder and the next generation");
+        }
+        if (own.doubt() != Amnesia.Doubt.NONE || own.standing() == Amnesia.Standing.BARRED) {
+            return new Start(As.BARRED, own.facts());
+        }
+        if (stored.isPresent()) {
+            return new Start(As.RETURNING, "");
+        }
+        if (own.term() > 0 || own.lastIndex() > 0 || own.standing() != Amnesia.Standing.FRESH) {
+            return new Start(As.BARRED, "the folder has a log, term " + own.term() + " up to " + own.lastIndex()
+                    + ", and does not say whose");
+        }
+        return founder && self.generation() == 0 ? new Start(As.FOUNDER, "") : new Start(As.JOINER, "");
+    }
+
+    boolean runsVoter() {
+        return as != As.BARRED;
+    }
+}
--- /dev/null
+++ b/src/main/java/calicostream/cluster/process/Telling.java
@@ -0,0 +1,55 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.cluster.process;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/** Which lines of the log a change of the signs is worth; pure. */
+final class Telling {
+    /** @param warn whether somebody may have to do something */
+    record Line(boolean warn, String text) { }
+
+    private Telling() { }
+
+    /** @param before null at the start */
+    static List<Line> of(Signs before, Signs now) {
+        List<Line> out = new ArrayList<>();
+        if (before == null || before.state() != now.state()) {
+            boolean bad = switch (now.state()) {
+                case BARRED, REMOVED, FAILED, DOWN -> true;
+                case SPARE, LEARNER, VOTER, STOPPING -> false;
+            };
+            out.add(new Line(bad, now.self() + " is " + now.state().name().toLowerCase(Locale.ROOT)
+                    + (now.why().isEmpty() ? "" : ": " + now.why())));
+        }
+        if (before == null) {
+            return out;
+        }
+        if (before.leader() != now.leader() || before.era() != now.era() && now.leader() != 0) {
+            out.add(new Line(false, now.leader() == 0 ? "no leader is known, term " + now.term()
+                    : "member " + now.leader() + " leads, term " + now.term() + ", era " + now.era()));
+        }
+        if (before.noQuorumMillis() == 0 && now.noQuorumMillis() > 0) {
+            out.add(new Line(true, "no quorum was heard for " + now.noQuorumMillis() + " ms: changes wait, the front end serves on"));
+        } else if (before.noQuorumMillis() > 0 && now.noQuorumMillis() == 0) {
+            out.add(new Line(false, "a quorum is heard again"));
+        }
+        if (before.session() != now.session()) {
+            boolean lost = now.session() == 0 && now.state() != Signs.State.STOPPING && now.state() != Signs.State.DOWN;
+            out.add(new Line(lost, now.session() == 0 ? "session " + before.session() + " is over" : "session " + now.session()
+                    + " is open"));
+        }
+        if (!before.voters().equals(now.voters()) || !before.learners().equals(now.learners())) {
+            out.add(new Line(false, "voters " + now.voters() + ", learners " + now.learners()));
+        }
+        if (before.disk().state() != now.disk().state()) {
+            out.add(new Line(now.disk().trouble() != null, "disk is " + now.disk().state().name().toLowerCase(Locale.ROOT)
+                    + (now.disk().trouble() == null ? "" : ": " + now.disk().trouble().getMessage())));
+        }
+        if (!before.wish().equals(now.wish()) && !now.wish().isEmpty()) {
+            out.add(new Line(false, "operators: " + now.wish()));
+        }
+        return out;
+    }
+}
--- /dev/null
+++ b/src/main/java/calicostream/cluster/process/WishRun.java
@@ -0,0 +1,68 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.cluster.process;
+
+import calicostream.cluster.raft.Voter;
+import java.util.List;
+
+/**
+ * A wish of operators on its way: when the next step is due, and when it is over. It is one leader's; who leads next knows
+ * nothing of it, and what is reached by then stays. Pure, one thread, monotonic nanoseconds.
+ */
+final class WishRun {
+    private final Wish wish;
+    private final long sinceNanos;
+    private final long stepNanos;
+    private final long longestNanos;
+    private boolean out;
+    private long stepAt;
+    private String last = "";
+    private String end = "";
+
+    /** @param stepNanos between two steps; @param longestNanos after which it is given up */
+    WishRun(Wish wish, long nowNanos, long stepNanos, long longestNanos) {
+        this.wish = wish;
+        sinceNanos = nowNanos;
+        stepAt = nowNanos;
+        this.stepNanos = stepNanos;
+        this.longestNanos = longestNanos;
+    }
+
+    Wish wish() {
+        return wish;
+    }
+
+    boolean isOver() {
+        return !end.isEmpty();
+    }
+
+    /** Whether a step is to be taken now; its end is to be told, unless it is a hand-over, which has none. */
+    boolean isDue(long nowNanos, boolean leads, int leader, List<Voter> voters, List<Voter> learners) {
+        if (isOver()) {
+            return false;
+        }
+        if (wish instanceof Wish.Voters change && voters.size() == change.wanted().size() && voters.containsAll(change.wanted())
+                && learners.isEmpty() || wish instanceof Wish.Lead lead && leader == lead.to().member()) {
+            end = "done";
+        } else if (!leads && leader != 0) {
+            end = "member " + leader + " leads now: see what holds there, and say it there again";
+        } else if (nowNanos - sinceNanos > longestNanos) {
+            end = "given up" + (last.isEmpty() ? "" : ", last: " + last);
+        } else if (leads && (!out || nowNanos - stepAt > 10 * stepNanos) && nowNanos - stepAt >= 0) {
+            out = wish instanceof Wish.Voters;
+            stepAt = nowNanos + stepNanos;
+            return true;
+        }
+        return false;
+    }
+
+    /** A step ended; {@code error} is empty if it went well. */
+    void stepEnded(String error) {
+        out = false;
+        last = error;
+    }
+
+    /** For operators, one line. */
+    String words() {
+        return wish.words() + ": " + (isOver() ? end : "under way" + (last.isEmpty() ? "" : ", last: " + last));
+    }
+}
--- a/src/main/java/calicostream/core/Service.java
+++ b/src/main/java/calicostream/core/Service.java
@@ -20,6 +20,16 @@
     /** Takes nothing new, and lets what is in hand go on; may be called again, and before {@link #start}. */
     void stopListening();
 
+    /** What operators see of it beside the figures of all, as a JSON object; null where there is nothing. */
+    default String signs() {
+        return null;
+    }
+
+    /** Operators' words: null where it knows no such ones, empty where they were taken, else one line that says why not. */
+    default String tell(String words) {
+        return null;
+    }
+
     /** Off the loop, at the end of the process: waits, for a bounded time, until what was answered has gone out. */
     void awaitEnd() throws InterruptedException;
 }
--- a/src/main/java/calicostream/daemon/ClusterPart.java
+++ b/src/main/java/calicostream/daemon/ClusterPart.java
@@ -3,32 +3,92 @@
 
 import calicostream.SettingsException;
 import calicostream.cluster.config.ClusterConfig;
+import calicostream.cluster.config.SettingsFile;
+import calicostream.cluster.process.Layer;
+import calicostream.cluster.process.Member;
+import calicostream.core.Service;
+import java.io.IOException;
 import java.nio.file.Path;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
+import java.util.ArrayList;
+import java.util.List;
 
-/** The cluster as a part of the program: so far its settings, which are read and told. */
-final class ClusterPart {
-    private static final Logger LOG = LoggerFactory.getLogger(ClusterPart.class);
+/**
+ * The cluster as a part of the program: its settings, the layers on it, and its member, which runs from the start of the
+ * program until the front end has served out.
+ */
+final class ClusterPart implements Service {
     private static final String LIBRARY = "org/tomlj/Toml.class";
     private final ClusterConfig config;
+    private final List<Layer> layers;
+    private Member member;
 
-    private ClusterPart(ClusterConfig config) {
+    private ClusterPart(ClusterConfig config, List<Layer> layers) {
         this.config = config;
+        this.layers = layers;
     }
 
     /** Null where the file leaves the cluster off. */
-    static ClusterPart read(Path file) {
+    static ClusterPart read(Path path) {
         if (ClusterPart.class.getClassLoader().getResource(LIBRARY) == null) {
-            throw new SettingsException("bad configuration: NODE_CLUSTER names " + file + ", but the class path has not the "
+            throw new SettingsException("bad configuration: NODE_CLUSTER names " + path + ", but the class path has not the "
                     + "libraries of target/lib-cluster; README.md has the command [cluster-libraries-missing]");
         }
-        return ClusterConfig.read(file).map(ClusterPart::new).orElse(null);
+        SettingsFile file = SettingsFile.read(path);
+        ClusterConfig config = ClusterConfig.of(file).orElse(null);
+        if (config == null) {
+            return null;
+        }
+        List<Layer> layers = layers(config, file);
+        file.done();
+        return new ClusterPart(config, layers);
+    }
+
+    /** Each layer takes its settings out of the file; all members must have the same layers. */
+    private static List<Layer> layers(ClusterConfig config, SettingsFile file) {
+        List<Layer> out = new ArrayList<>();
+        out.add(new LeaseLayer());
+        return out;
+    }
+
+    /** Before anybody is served: what ends the program must do so now. */
+    void join() throws IOException {
+        // The library tells each vote and heartbeat that it misses; what matters of it the member says itself.
+        System.setProperty("org.slf4j.simpleLogger.log.io.microraft", System.getProperty("org.slf4j.simpleLogger.log.io.microraft", "off"));
+        member = Member.start(config, layers);
+    }
+
+    @Override
+    public String name() {
+        return "cluster";
+    }
+
+    /** The member has run since {@link #join}. */
+    @Override
+    public void start() { }
+
+    @Override
+    public int port() {
+        return member.port();
+    }
+
+    @Override
+    public void stopListening() {
+        member.stop();
+    }
+
+    @Override
+    public void awaitEnd() throws InterruptedException {
+        member.stop();
+        member.awaitEnd();
+    }
+
+    @Override
+    public String signs() {
+        return member.signs();
     }
 
-    /** Until members run by these settings, who turned the cluster on must not take it for on. */
-    void tell() {
-        LOG.warn("cluster {}: member {} is configured as {}, but this version runs no members", config.cluster(),
-                config.self().name(), config.isVoter() ? "a voter" : "no voter");
+    @Override
+    public String tell(String words) {
+        return member.tell(words);
     }
 }
--- a/src/main/java/calicostream/daemon/Composition.java
+++ b/src/main/java/calicostream/daemon/Composition.java
@@ -52,10 +52,14 @@
         Gateway gateway = new Gateway(loop.clock(), loop.deadlines(), decided,
                 Watchers.of(watchers(loop, config, flight, syslogConfig)));
 
-        List<Service> services = flight == null ? List.of() : List.of(flight.front(gateway));
+        List<Service> services = new ArrayList<>();
+        if (flight != null) {
+            services.add(flight.front(gateway));
+        }
         Function<Object, byte[]> text = flight == null ? rows -> (byte[]) rows : flight.text();
         if (cluster != null) {
-            cluster.tell();
+            cluster.join();
+            services.add(cluster);
         }
         return new Node(config, new Parts(descriptors, loop, gateway, engines, text, services), shared);
     }
--- a/src/main/java/calicostream/platform/Node.java
+++ b/src/main/java/calicostream/platform/Node.java
@@ -290,6 +290,22 @@
         return FiguresJson.of(gateway, config.settings().classNames());
     }
 
+    private Service part(String name) {
+        return services.stream().filter(each -> each.name().equals(name)).findFirst().orElse(null);
+    }
+
+    @Override
+    public String signs(String name) {
+        Service part = part(name);
+        return part == null ? null : part.signs();
+    }
+
+    @Override
+    public String tell(String name, String words) {
+        Service part = part(name);
+        return part == null ? null : part.tell(words);
+    }
+
     /** The other process takes all new clients from now on; those that are here are served, and let go at rest. */
     private void retire(long now) {
         long last = now + Math.min(LONGEST_STAY, longestDeadline()) + SERVE_ON - MARGIN;
--- a/src/test/java/calicostream/cluster/config/ClusterConfigTest.java
+++ b/src/test/java/calicostream/cluster/config/ClusterConfigTest.java
@@ -8,10 +8,12 @@
 
 import calicostream.cluster.config.ClusterConfigException.Code;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.regex.Matcher;
@@ -74,6 +76,39 @@
         assertEquals(folder.resolve("seven"), told.data());
     }
 
+    private static final String MORE = "[[members]]\nname = \"m4\"\nnumber = 4\naddress = \"127.0.0.1:7504\"\n"
+            + "[[links]]\nto = \"m2\"\nvia = \"127.0.0.1:7602\"\n[[links]]\nto = \"m4\"\nvia = \"127.0.0.1:7604\"\n";
+
+    @Test
+    void linksLeadToVotersAndMembersOtherwise() throws IOException {
+        ClusterConfig told = read(pattern() + MORE);
+        assertEquals(Map.of(2, 7602, 3, 7503, 4, 7604), told.peers().entrySet().stream()
+                .collect(Collectors.toMap(Map.Entry::getKey, each -> each.getValue().getPort())));
+        assertEquals(told.data(), told.marks());
+        String fourth = pattern().replaceFirst("name = \"m1\"", "name = \"m4\"\ngeneration = 2\nmarks = \"other\"");
+        ClusterConfig four = read(fourth + MORE.substring(0, MORE.lastIndexOf("[[links]]")));
+        assertEquals(new ClusterConfig.Member("m4", 4, new InetSocketAddress("127.0.0.1", 7504)), four.self());
+        assertFalse(four.isVoter());
+        assertEquals(2, four.generation());
+        assertEquals(folder.resolve("other"), four.marks());
+        assertEquals(Set.of(1, 2, 3), four.peers().keySet());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
+        "OUT_OF_RANGE | to = \"m2\" | to = \"m9\" | links.to: 'm9' is none of the voters and members",
+        "IMPOSSIBLE | to = \"m2\" | to = \"m1\" | links.to: 'm1' is this member itself, member.name says",
+        "OVERLAP | to = \"m4\" | to = \"m2\" | links.to: 'm2' has a link already",
+        "MISSING_KEY | via = \"127.0.0.1:7604\" | # | links.via: it is needed",
+        "OVERLAP | number = 4 | number = 2 | members.number: '2' is voter m2's",
+        "OVERLAP | address = \"127.0.0.1:7504\" | address = \"127.0.0.1:7503\" | members.address: 127.0.0.1:7503 is voter m3's",
+    })
+    void mistakeInLinksAndMembersIsToldToo(Code code, String was, String is, String fact) throws IOException {
+        ClusterConfigException told = refused(pattern() + MORE.replace(was, is));
+        assertEquals(code, told.code(), told.getMessage());
+        assertTrue(told.getMessage().contains(": " + fact), told.getMessage());
+    }
+
     /** Each with the line of the pattern that is replaced, and what the message says of that line. */
     @ParameterizedTest
     @CsvSource(delimiter = '|', quoteCharacter = '`', nullValues = "-", value = {
--- /dev/null
+++ b/src/test/java/calicostream/cluster/process/MemberProcess.java
@@ -0,0 +1,147 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.cluster.process;
+
+import calicostream.wire.Program;
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Predicate;
+
+/** The program as a process with a member of a cluster in it; its lines are read by a thread of this one. */
+final class MemberProcess implements AutoCloseable {
+    static final long PATIENCE_S = 60;
+    /** Heartbeats that a machine with two busy cores keeps up with, and a session that outlasts a change of leader. */
+    private static final String PACE = "[raft]\nheartbeat = \"50ms\"\nmissed = 8\nelection = \"400ms\"\nsnapshot_every = 200\n"
+            + "[session]\nttl = \"3s\"\nretry = \"200ms\"\n";
+    final Process process;
+    private final StringBuffer lines = new StringBuffer();
+    private final CompletableFuture<Integer> admin = new CompletableFuture<>();
+    private final CompletableFuture<Integer> front = new CompletableFuture<>();
+    private final Thread reader;
+
+    /** @param options of the virtual machine */
+    MemberProcess(Path folder, int changelogPort, String cluster, String... options) throws IOException {
+        Files.createDirectories(folder);
+        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx96m", "-Dcalicostream.deploy=" + folder));
+        command.addAll(List.of(options));
+        command.addAll(List.of("-cp", System.getProperty("java.class.path"), "calicostream.Main", "serve"));
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+        builder.environment().put("NODE_CONFIG", Program.configure(folder, 0, changelogPort, List.of(), 1024).toString());
+        builder.environment().put("TMPDIR", folder.toString());
+        builder.environment().put("NODE_CLUSTER", Files.writeString(folder.resolve("cluster.toml"), cluster).toString());
+        process = builder.start();
+        reader = new Thread(this::read, "lines of " + folder.getFileName());
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    /** Ports that were free a moment ago, one for each member. */
+    static List<Integer> ports(int count) throws IOException {
+        List<ServerSocket> taken = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            taken.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
+        }
+        List<Integer> ports = taken.stream().map(ServerSocket::getLocalPort).toList();
+        for (ServerSocket each : taken) {
+            each.close();
+        }
+        return ports;
+    }
+
+    /** Settings of member {@code number}; the first three are voters. {@code own} has more lines of its table {@code [member]}. */
+    static String settings(int number, List<Integer> ports, String own) {
+        StringBuilder out = new StringBuilder("enabled = true\n[cluster]\nname = \"test\"\n[member]\nname = \"m" + number
+                + "\"\ndata = \"data\"\n" + own + "\n");
+        for (int i = 1; i <= ports.size(); i++) {
+            out.append(i <= 3 ? "[[voters]]\n" : "[[members]]\n").append("name = \"m").append(i).append("\"\nnumber = ").append(i)
+                    .append("\naddress = \"127.0.0.1:").append(ports.get(i - 1)).append("\"\n");
+        }
+        return out + PACE;
+    }
+
+    private void read() {
+        try (BufferedReader in = process.inputReader(StandardCharsets.UTF_8)) {
+            for (String line = in.readLine(); line != null; line = in.readLine()) {
+                lines.append(line).append('\n');
+                if (line.contains("operators call on port")) {
+                    admin.complete(Program.portIn(line));
+                } else if (line.contains(" - listens on port") || line.contains("] INFO") && line.contains(" listens on port")
+                        && !line.contains("cluster listens")) {
+                    front.complete(Program.portIn(line));
+                }
+            }
+        } catch (IOException e) {
+            lines.append(e).append('\n');
+        }
+        admin.completeExceptionally(new IllegalStateException("ended:\n" + lines));
+        front.completeExceptionally(new IllegalStateException("ended:\n" + lines));
+    }
+
+    String lines() {
+        return lines.toString();
+    }
+
+    int admin() throws Exception {
+        return admin.get(PATIENCE_S, TimeUnit.SECONDS);
+    }
+
+    int front() throws Exception {
+        return front.get(PATIENCE_S, TimeUnit.SECONDS);
+    }
+
+    JsonObject signs() throws Exception {
+        String answer = Program.call(admin(), "GET /-/cluster");
+        if (!answer.startsWith("HTTP/1.1 200 ")) {
+            throw new IllegalStateException(answer);
+        }
+        return Json.parse(answer.substring(answer.indexOf("\r\n\r\n") + 4)).asObject();
+    }
+
+    /** What the member says once the condition holds. */
+    JsonObject await(String what, Predicate<JsonObject> condition) throws Exception {
+        JsonObject last = null;
+        for (long end = System.nanoTime() + PATIENCE_S * 1_000_000_000L; System.nanoTime() < end; LockSupport.parkNanos(20_000_000)) {
+            last = signs();
+            if (condition.test(last)) {
+                return last;
+            }
+        }
+        throw new AssertionError("not " + what + ": " + last + "\n" + lines);
+    }
+
+    /** The status line of what operators ask for. */
+    String ask(String words) throws Exception {
+        return Program.call(admin(), "POST /-/cluster/" + words);
+    }
+
+    int awaitExit() throws InterruptedException {
+        if (!process.waitFor(PATIENCE_S, TimeUnit.SECONDS)) {
+            throw new AssertionError("the program did not end:\n" + lines);
+        }
+        reader.join();
+        return process.exitValue();
+    }
+
+    @Override
+    public void close() {
+        process.destroyForcibly();
+        try {
+            process.waitFor();
+        } catch (InterruptedException e) {
+            throw new UncheckedIOException(new IOException(e));
+        }
+    }
+}
--- a/src/test/java/calicostream/packaged/PackagedTest.java
+++ b/src/test/java/calicostream/packaged/PackagedTest.java
@@ -32,7 +32,7 @@
     /** Parts that are off, and the libraries that only they use. */
     private static final List<String> OFF = List.of("calicostream.flight.", "calicostream.grpc.", "calicostream.syslog.",
             "calicostream.cluster.", "calicostream.durable.", "calicostream.lease.", "calicostream.budget.",
-            "calicostream.booking.", "calicostream.daemon.FlightPart", "calicostream.daemon.ClusterPart", "io.grpc.",
+            "calicostream.booking.", "calicostream.daemon.FlightPart", "calicostream.daemon.ClusterPart", "calicostream.daemon.LeaseLayer", "io.grpc.",
             "io.netty.", "com.google.", "org.apache.arrow.", "com.fasterxml.", "io.microraft.", "org.tomlj.", "org.antlr.",
             "org.HdrHistogram.");
     @TempDir
