--- a/src/main/java/calicostream/cluster/Effects.java
+++ b/src/main/java/calicostream/cluster/Effects.java
@@ -11,8 +11,19 @@
  * @param answer in the machine's own encoding; the facts of a refusal if there is one
  */
 public record Effects(String refusal, byte[] answer, List<Event> events) {
-    /** Something that happened in a machine, for watchers; {@code body} is in the machine's own encoding. */
-    public record Event(String kind, byte[] body) {
+    /**
+     * Something that happened in a machine, for watchers; {@code body} is in the machine's own encoding.
+     *
+     * @param to whom the leader tells it beside the watchers at the copies: a session, {@link #ALL} or {@link #NOBODY}
+     */
+    public record Event(String kind, byte[] body, long to) {
+        public static final long ALL = 0;
+        public static final long NOBODY = -1;
+
+        /** For the watchers at the copies alone. */
+        public Event(String kind, byte[] body) {
+            this(kind, body, NOBODY);
+        }
     }
 
     /** Accepted, nothing to say. */
--- a/src/main/java/calicostream/cluster/Frame.java
+++ b/src/main/java/calicostream/cluster/Frame.java
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 package calicostream.cluster;
 
-/** What goes over {@link Links}: messages among voters, and members' requests with their replies. Immutable. */
+/** What goes over {@link Links}: messages among voters, members' requests with their replies, and news. Immutable. */
 public sealed interface Frame {
     int VERSION = 1;
 
@@ -30,6 +30,10 @@
     record Reply(long id, long ageNanos, Outcome outcome) implements Frame {
     }
 
+    /** Something happened at {@code index}, told to a member unasked; may be lost, late, or there twice. */
+    record News(String machine, long index, Effects.Event event) implements Frame {
+    }
+
     default byte[] encode() {
         Bytes.Writer out = new Bytes.Writer().u8(VERSION);
         if (this instanceof Raft raft) {
@@ -38,6 +42,8 @@
             out.u8(2).i64(request.id).u8(request.ask.ordinal()).text(request.machine).blob(request.body);
         } else if (this instanceof Reply reply) {
             reply.outcome.encode(out.u8(3).i64(reply.id).i64(reply.ageNanos));
+        } else if (this instanceof News news) {
+            out.u8(4).text(news.machine).i64(news.index).text(news.event.kind()).i64(news.event.to()).blob(news.event.body());
         }
         return out.done();
     }
@@ -58,6 +64,13 @@
                 yield new Request(id, Ask.values()[ask], in.text(Entry.MAX_NAME), in.blob(2 * Command.MAX_BODY));
             }
             case 3 -> new Reply(in.i64(), in.i64(), Outcome.decode(in));
+            case 4 -> {
+                String machine = in.text(Entry.MAX_NAME);
+                long index = in.i64();
+                String what = in.text(Entry.MAX_NAME);
+                long to = in.i64();
+                yield new News(machine, index, new Effects.Event(what, in.blob(Command.MAX_BODY), to));
+            }
             default -> throw in.malformed("no frame is of kind " + kind);
         };
         in.end();
--- a/src/main/java/calicostream/cluster/Sessions.java
+++ b/src/main/java/calicostream/cluster/Sessions.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Supplier;
 
@@ -52,6 +53,10 @@
         return Collections.unmodifiableCollection(alive.values());
     }
 
+    Optional<Session> find(long session) {
+        return Optional.ofNullable(alive.get(session));
+    }
+
     boolean isAlive(long session) {
         return alive.containsKey(session);
     }
--- a/src/main/java/calicostream/lease/LeaseEvent.java
+++ b/src/main/java/calicostream/lease/LeaseEvent.java
@@ -24,15 +24,16 @@
     /** Why a lease ended. */
     enum Why { RELEASED, TRANSFERRED, EXPIRED }
 
+    /** A grant concerns its holder, an act everybody; that something ended is for whoever watches a copy. */
     default Effects.Event encode() {
         Bytes.Writer out = new Bytes.Writer().text(name()).i64(token());
         if (this instanceof Granted g) {
-            return new Effects.Event("lease-granted", out.i64(g.session).done());
+            return new Effects.Event("lease-granted", out.i64(g.session).done(), g.session);
         }
         if (this instanceof Freed f) {
             return new Effects.Event("lease-freed", out.u8(f.why.ordinal()).done());
         }
-        return new Effects.Event("lease-acted", out.blob(((Acted) this).payload).done());
+        return new Effects.Event("lease-acted", out.blob(((Acted) this).payload).done(), Effects.Event.ALL);
     }
 
     /** @throws calicostream.cluster.ClusterException.Malformed if it is no event of a lease */
--- /dev/null
+++ b/src/test/java/calicostream/cluster/NewsroomTest.java
@@ -0,0 +1,84 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.cluster;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Whom the leader tells what happened, and that it never tells more than it has room for. */
+class NewsroomTest {
+    private static final long SEED = 25;
+    private static final int SELF = 1;
+    private final Replicated state = new Replicated(Map.of());
+    private long index;
+
+    private long open(int member) {
+        state.apply(++index, new Entry.Open(member, 7, 1000).encode());
+        return index;
+    }
+
+    private Replicated.News news(long to, int bytes) {
+        return new Replicated.News("leases", ++index, new Effects.Event("lease-acted", new byte[bytes], to));
+    }
+
+    private static List<Integer> members(List<Newsroom.Telling> told) {
+        return told.stream().map(Newsroom.Telling::member).sorted().toList();
+    }
+
+    @Test
+    void aGrantGoesToItsHolderAndAnActToAll() {
+        open(SELF);
+        long second = open(2);
+        open(3);
+        open(3); // Started again, its former session not yet over.
+        Newsroom room = new Newsroom(state, SELF);
+        List<Replicated.News> news = List.of(news(second, 5), news(Effects.Event.NOBODY, 5), news(Effects.Event.ALL, 5));
+        assertEquals(List.of(), room.tell(news, false, 0));
+        List<Newsroom.Telling> told = room.tell(news, true, 0);
+        assertEquals(List.of(2, 2, 3), members(told));
+        Frame.News first = (Frame.News) Frame.decode(told.get(0).frame());
+        assertEquals("leases", first.machine());
+        assertEquals(news.get(0).index(), first.index());
+        assertEquals(second, first.event().to());
+        assertArrayEquals(news.get(0).event().body(), first.event().body());
+        state.apply(++index, new Entry.Close(second).encode());
+        assertEquals(List.of(), room.tell(List.of(news(second, 5)), true, 0));
+    }
+
+    @Test
+    void whatFindsNoRoomIsDroppedAndAnotherMemberIsTheNextToMiss() {
+        Random random = new Random(SEED);
+        for (int member = 1; member <= 20; member++) {
+            open(member);
+        }
+        Newsroom room = new Newsroom(state, SELF);
+        long now = random.nextLong();
+        long began = now;
+        long sent = 0;
+        long asked = 0;
+        Set<Integer> heard = new HashSet<>();
+        for (int i = 0; i < 2_000; i++) {
+            asked += 19;
+            for (Newsroom.Telling each : room.tell(List.of(news(Effects.Event.ALL, 30_000)), true, now)) {
+                sent += each.frame().length;
+                heard.add(each.member());
+            }
+            now += random.nextInt(20_000_000);
+            assertTrue(sent <= Newsroom.ROOM + (now - began) / 1000 * Newsroom.PER_SECOND / 1_000_000 + 1, "seed " + SEED);
+        }
+        assertEquals(asked, room.told() + room.dropped());
+        assertTrue(room.dropped() > 0);
+        assertEquals(19, heard.size());
+        // Room that was not used does not add up.
+        now += 3_600_000_000_000L;
+        long after = room.tell(List.of(news(Effects.Event.ALL, 30_000)), true, now).stream().mapToLong(each -> each.frame().length).sum();
+        assertTrue(after > Newsroom.ROOM / 2 && after <= Newsroom.ROOM);
+    }
+}
--- a/src/test/java/calicostream/cluster/ReplicatedTest.java
+++ b/src/test/java/calicostream/cluster/ReplicatedTest.java
@@ -180,7 +180,8 @@
         run(session, 1, 0, "a");
         List<byte[]> right = List.of(state.snapshot(), new Entry.Run(session, 2, 1, "heard", new byte[9]).encode(),
                 new Frame.Request(5, Frame.Ask.READ, "heard", new byte[3]).encode(),
-                new Frame.Reply(5, 0, Outcome.failed(3, ClusterException.QueueFull.CODE, 1, 2, 3)).encode());
+                new Frame.Reply(5, 0, Outcome.failed(3, ClusterException.QueueFull.CODE, 1, 2, 3)).encode(),
+                new Frame.News("heard", 3, new Effects.Event("heard", new byte[3], 2)).encode());
         for (int i = 0; i < 20_000; i++) {
             byte[] bytes = right.get(i % right.size()).clone();
             if (random.nextBoolean()) {
