--- /dev/null
+++ b/src/test/java/calicostream/rig/Judge.java
@@ -0,0 +1,143 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.rig;
+
+import calicostream.rig.History.Act;
+import calicostream.rig.History.Answer;
+import calicostream.rig.History.Answered;
+import calicostream.rig.History.Asked;
+import calicostream.rig.History.Dropped;
+import calicostream.rig.History.Ran;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** Judges what was recorded; pure, and without any class of the program, so that both can't be wrong in the same way. */
+final class Judge {
+    private final History.All all;
+
+    Judge(History.All all) {
+        this.all = all;
+    }
+
+    /** Requests without an end: no answer, and the connection is not known to have ended with a process that the rig ended. */
+    List<String> lost() {
+        Set<String> ended = new HashSet<>();
+        all.answered().forEach(each -> ended.add(each.id()));
+        all.dropped().stream().filter(Dropped::expected).forEach(each -> ended.add(each.id()));
+        return all.asked().stream().map(Asked::id).filter(id -> !ended.contains(id)).toList();
+    }
+
+    /** Requests with a second answer, or an answer that nobody asked for. */
+    List<String> answeredTwice() {
+        Set<String> open = new HashSet<>();
+        all.asked().forEach(each -> open.add(each.id()));
+        return all.answered().stream().map(Answered::id).filter(id -> !open.remove(id)).toList();
+    }
+
+    /** Requests that engines ran more than once. */
+    List<String> ranTwice() {
+        Set<String> seen = new HashSet<>();
+        return all.ran().stream().map(Ran::id).filter(id -> !seen.add(id)).toList();
+    }
+
+    /** Share of what was asked that was served, of these front ends. */
+    double served(Set<Integer> fronts) {
+        long asked = all.asked().stream().filter(each -> fronts.contains(each.front())).count();
+        long served = all.answered().stream().filter(each -> fronts.contains(each.front()) && each.answer() == Answer.SERVED).count();
+        return asked == 0 ? Double.NaN : (double) served / asked;
+    }
+
+    long served() {
+        return all.answered().stream().filter(each -> each.answer() == Answer.SERVED).count();
+    }
+
+    /** Nanoseconds from asked to answered, rising. */
+    List<Long> waits(Set<Integer> fronts, long from, long to) {
+        Map<String, Long> asked = new HashMap<>();
+        all.asked().stream().filter(each -> fronts.contains(each.front()) && each.at() >= from && each.at() < to)
+                .forEach(each -> asked.put(each.id(), each.at()));
+        return all.answered().stream().filter(each -> asked.containsKey(each.id())).map(each -> each.at() - asked.get(each.id()))
+                .sorted().toList();
+    }
+
+    /**
+     * Acts that must not have been done: under a token lower than one that had acted on that lease, under a token that another one
+     * had acted under, or the same act of the same actor again. In the order in which the resource did them.
+     */
+    List<Act> doubleActs() {
+        List<Act> out = new ArrayList<>();
+        Map<String, Long> highest = new HashMap<>();
+        Map<String, String> actors = new HashMap<>();
+        Set<String> seen = new HashSet<>();
+        for (Act each : acts()) {
+            String under = each.lease() + " " + each.token();
+            boolean old = each.token() < highest.getOrDefault(each.lease(), Long.MIN_VALUE);
+            boolean shared = !actors.computeIfAbsent(under, key -> each.who()).equals(each.who());
+            boolean again = !seen.add(under + " " + each.who() + " " + each.number());
+            highest.merge(each.lease(), each.token(), Math::max);
+            if (old || shared || again) {
+                out.add(each);
+            }
+        }
+        return out;
+    }
+
+    private List<Act> acts() {
+        return all.acts().stream().filter(Act::done).sorted(Comparator.comparingLong(Act::at)).toList();
+    }
+
+    /** For each of these ends of a holder: nanoseconds to the first act under a higher token than all before it; none if there was none. */
+    List<Long> handovers(String lease, List<Long> ends) {
+        List<Long> out = new ArrayList<>();
+        for (long end : ends) {
+            long before = acts().stream().filter(a -> a.lease().equals(lease) && a.at() <= end).mapToLong(Act::token).max().orElse(0);
+            acts().stream().filter(a -> a.lease().equals(lease) && a.at() > end && a.token() > before).findFirst()
+                    .ifPresent(next -> out.add(next.at() - end));
+        }
+        return out;
+    }
+
+    /** By engine, how often it ran more at once than its cap. */
+    long overCap(int cap) {
+        Map<Integer, TreeMap<Long, Integer>> changes = new HashMap<>();
+        for (Ran each : all.ran()) {
+            TreeMap<Long, Integer> of = changes.computeIfAbsent(each.engine(), key -> new TreeMap<>());
+            of.merge(each.from(), 1, Integer::sum);
+            of.merge(each.to(), -1, Integer::sum);
+        }
+        long over = 0;
+        for (TreeMap<Long, Integer> of : changes.values()) {
+            int running = 0;
+            for (int change : of.values()) {
+                running += change;
+                over += change > 0 && running > cap ? 1 : 0;
+            }
+        }
+        return over;
+    }
+
+    /** The longest time in the window in which a front end that was asked served nobody. */
+    long longestSilence(int front, long from, long to) {
+        List<Long> served = new ArrayList<>(all.answered().stream().filter(each -> each.front() == front
+                && each.answer() == Answer.SERVED && each.at() >= from && each.at() < to).map(Answered::at).toList());
+        Collections.sort(served);
+        long longest = 0;
+        long last = from;
+        for (long at : served) {
+            longest = Math.max(longest, at - last);
+            last = at;
+        }
+        return Math.max(longest, to - last);
+    }
+
+    /** The value that so great a share of the list, which rises, does not exceed. */
+    static long percentile(List<Long> rising, double share) {
+        return rising.isEmpty() ? 0 : rising.get(Math.min(rising.size() - 1, (int) Math.ceil(share * rising.size()) - 1));
+    }
+}
