--- a/src/main/java/calicostream/cluster/ClusterException.java
+++ b/src/main/java/calicostream/cluster/ClusterException.java
@@ -209,6 +209,17 @@
         }
     }
 
+    /** A generation of a voter that was removed, or is older than one that was added, must not come back. */
+    public static final class GenerationOver extends ClusterException {
+        private static final long serialVersionUID = 1L;
+        public static final String CODE = "cluster-generation-over";
+
+        public GenerationOver(int member, int generation, int next) {
+            super(CODE, "generation " + generation + " of member " + member + " is over, the next is " + next,
+                    "Start this member's voter with empty folders under the generation that is named, and add that one.");
+        }
+    }
+
     /** The error that was sent as a code and its facts; an unknown code becomes {@link Malformed}. */
     static ClusterException of(String code, Bytes.Reader in) {
         return switch (code) {
@@ -221,6 +232,7 @@
             case TooManySessions.CODE -> new TooManySessions(in.i64(), in.i64(), in.i64());
             case OldEra.CODE -> new OldEra(in.i64(), in.i64());
             case NoQuorum.CODE -> new NoQuorum(in.i64(), in.i64());
+            case GenerationOver.CODE -> new GenerationOver((int) in.i64(), (int) in.i64(), (int) in.i64());
             case TooLarge.CODE -> new TooLarge("request", in.i64(), in.i64());
             case UnknownMachine.CODE -> new UnknownMachine("(of a request)");
             case Malformed.CODE -> in.malformed("so said the peer of what was sent to it");
--- a/src/main/java/calicostream/cluster/Entry.java
+++ b/src/main/java/calicostream/cluster/Entry.java
@@ -39,9 +39,18 @@
     record Timed(long era, String machine, byte[] body) implements Entry {
     }
 
+    /** The leader is about to add this voter, or to promote it; refused if it must not come back. */
+    record AddVoter(int member, int generation) implements Entry {
+    }
+
+    /** The leader is about to remove this voter: it is never added again. */
+    record RemoveVoter(int member, int generation) implements Entry {
+    }
+
     /** Only a leader makes it, from its own state; refused if a member sends it. */
     default boolean ofLeader() {
-        return this instanceof Era || this instanceof Expire || this instanceof Timed;
+        return this instanceof Era || this instanceof Expire || this instanceof Timed || this instanceof AddVoter
+                || this instanceof RemoveVoter;
     }
 
     default byte[] encode() {
@@ -60,6 +69,10 @@
             out.u8(6).i64(e.era).i64(e.session).i64(e.renewed);
         } else if (this instanceof Timed e) {
             out.u8(7).i64(e.era).text(e.machine).blob(e.body);
+        } else if (this instanceof AddVoter e) {
+            out.u8(8).i32(e.member).i32(e.generation);
+        } else if (this instanceof RemoveVoter e) {
+            out.u8(9).i32(e.member).i32(e.generation);
         }
         return out.done();
     }
@@ -77,6 +90,8 @@
             case 5 -> new Close(in.i64());
             case 6 -> new Expire(in.i64(), in.i64(), in.i64());
             case 7 -> new Timed(in.i64(), in.text(MAX_NAME), in.blob(Command.MAX_BODY));
+            case 8 -> new AddVoter(in.i32(), in.i32());
+            case 9 -> new RemoveVoter(in.i32(), in.i32());
             default -> throw in.malformed("no entry is of kind " + kind);
         };
         in.end();
--- a/src/main/java/calicostream/cluster/Replicated.java
+++ b/src/main/java/calicostream/cluster/Replicated.java
@@ -14,7 +14,8 @@
  * voter, since its copy would differ from then on.
  */
 public final class Replicated {
-    private static final int VERSION = 1;
+    /** Of a snapshot; the first had no generations of voters, and is still read. */
+    private static final int VERSION = 2;
     private static final int MAX_PART = 1 << 28;
 
     /** An event and the machine it is of; "" for this layer's own. */
@@ -23,6 +24,7 @@
 
     private final SortedMap<String, Machine> machines;
     private Sessions sessions = new Sessions();
+    private VoterGenerations voters = new VoterGenerations();
     private long applied;
     private long era;
     private Entry.Era leader = new Entry.Era(0, 0);
@@ -56,6 +58,16 @@
         return sessions.isAlive(session);
     }
 
+    /** Whether this generation of a member may be added to the voters, by what is applied here. */
+    public boolean mayAdd(int member, int generation) {
+        return voters.mayAdd(member, generation);
+    }
+
+    /** The least generation under which a member may come back as somebody new. */
+    public int nextGeneration(int member) {
+        return voters.next(member);
+    }
+
     Sessions sessions() {
         return sessions;
     }
@@ -104,6 +116,11 @@
             Machine machine = machine(timed.machine());
             return told(timed.machine(), index, machine.apply(index, new Command(0, 0, era, timed.body())));
         }
+        if (entry instanceof Entry.AddVoter add) {
+            return voters.add(index, add);
+        } else if (entry instanceof Entry.RemoveVoter remove) {
+            return voters.remove(index, remove);
+        }
         throw new IllegalStateException("an entry of no kind: " + entry);
     }
 
@@ -143,6 +160,7 @@
     public byte[] snapshot() {
         Bytes.Writer out = new Bytes.Writer().u8(VERSION).i64(applied).i64(era).i32(leader.member()).i64(leader.nonce());
         sessions.write(out);
+        voters.write(out);
         out.i32(machines.size());
         machines.forEach((name, machine) -> out.text(name).blob(machine.snapshot()));
         return out.done();
@@ -157,11 +175,15 @@
      */
     public void restore(byte[] snapshot) {
         Bytes.Reader in = new Bytes.Reader("snapshot", snapshot);
-        in.version(VERSION);
+        int version = in.u8();
+        if (version < 1 || version > VERSION) {
+            throw in.malformed("version " + version + " is not in 1.." + VERSION);
+        }
         long at = in.i64();
         long eraThen = in.i64();
         Entry.Era leaderThen = new Entry.Era(in.i32(), in.i64());
         Sessions sessionsThen = Sessions.read(in);
+        VoterGenerations votersThen = version < 2 ? new VoterGenerations() : VoterGenerations.read(in);
         Map<String, byte[]> parts = new TreeMap<>();
         for (int left = in.count(8); left > 0; left--) {
             String name = in.text(Entry.MAX_NAME);
@@ -174,6 +196,7 @@
         era = eraThen;
         leader = leaderThen;
         sessions = sessionsThen;
+        voters = votersThen;
         news = new ArrayList<>();
     }
 }
--- a/src/main/java/calicostream/cluster/raft/VoterNode.java
+++ b/src/main/java/calicostream/cluster/raft/VoterNode.java
@@ -67,6 +67,7 @@
     private final SessionKeeper keeper;
     private final Stepper stepper;
     private final LeaderSilence silence;
+    private final VoterChanges changes;
     private final RaftNode raft;
     private final Consumer<Throwable> failed;
     private boolean stopped;
@@ -113,6 +114,7 @@
             builder.setLocalEndpoint(settings.self).setInitialGroupMembers(first);
         }
         this.raft = builder.build();
+        this.changes = new VoterChanges(raft, settings.self, state, (entry, reply) -> propose(entry.encode(), reply), this::notLeading);
     }
 
     private final class Sender implements Transport {
@@ -218,32 +220,12 @@
 
     /**
      * Changes one voter; only the leader can, one change at a time. {@code done} hears the error, or null once the change
-     * holds. Who has not acknowledged the present voters and learners is not promoted: one that is gone for good would
-     * count into a quorum that then may never be.
+     * holds. Who was removed is never added again ({@link ClusterException.GenerationOver} names the generation to come
+     * back under). Who has not acknowledged the present voters and learners is not promoted: one that is gone for good
+     * would count into a quorum that then may never be.
      */
     public void change(Change change, Voter who, Consumer<ClusterException> done) {
-        String what = change + " " + who;
-        if (stopped || !leads()) {
-            done.accept(new ClusterException.NotLeader(settings.self.member(), leader(), state.era()));
-            return;
-        }
-        Collection<RaftEndpoint> voters = raft.getEffectiveMembers().getVotingMembers();
-        if (change == Change.REMOVE && who.equals(settings.self)) {
-            done.accept(new ClusterException.BadChange(what, "it leads, let it hand over first"));
-            return;
-        } else if (change == Change.REMOVE && voters.contains(who) && voters.size() <= 2) {
-            done.accept(new ClusterException.BadChange(what, "too few voters would be left, add one first"));
-            return;
-        }
-        long since = raft.getCommittedMembers().getLogIndex();
-        raft.getReport().thenAccept(report -> {
-            if (change == Change.PROMOTE && report.getResult().getLog().getFollowerMatchIndices().getOrDefault(who, 0L) < since) {
-                done.accept(new ClusterException.BadChange(what, "it has not acknowledged that it learns, ask again once it did"));
-                return;
-            }
-            raft.changeMembership(who, change.mode, since).whenComplete((ok, error) -> done.accept(
-                    error == null ? null : new ClusterException.BadChange(what, String.valueOf(error.getMessage()))));
-        });
+        changes.change(change, who, done);
     }
 
     /**
@@ -251,18 +233,11 @@
      * {@link #voters()} are the wanted ones. {@code done} hears of a step as with {@link #change}.
      */
     public void towards(Collection<Voter> wanted, Consumer<ClusterException> done) {
-        if (!leads()) {
-            done.accept(new ClusterException.NotLeader(settings.self.member(), leader(), state.era()));
-            return;
-        }
-        List<Voter> voters = voters().stream().map(Voter.class::cast).toList();
-        List<Voter> learners = votersAndLearners().stream().map(Voter.class::cast).filter(who -> !voters.contains(who)).toList();
-        VoterPlan.next(wanted, voters, learners, settings.self).ifPresent(step -> {
-            switch (step.kind()) {
-                case LEARN, PROMOTE, REMOVE -> change(Change.valueOf(step.kind().name()), step.who(), done);
-                case HAND_OVER -> handOver(step.who());
-            }
-        });
+        changes.towards(wanted, done);
+    }
+
+    private ClusterException notLeading() {
+        return leads() ? null : new ClusterException.NotLeader(settings.self.member(), leader(), state.era());
     }
 
     private void beat() {
--- a/src/test/java/calicostream/cluster/ReplicatedTest.java
+++ b/src/test/java/calicostream/cluster/ReplicatedTest.java
@@ -91,6 +91,24 @@
         assertTrue(run(session, 2 + Sessions.WINDOW, 2, "x").accepted());
     }
 
+    @Test
+    void aGenerationThatWasRemovedIsNeverAddedAgain() {
+        assertTrue(apply(new Entry.AddVoter(4, 0)).accepted());
+        assertTrue(apply(new Entry.AddVoter(4, 0)).accepted(), "a retry");
+        assertTrue(apply(new Entry.RemoveVoter(4, 0)).accepted());
+        assertInstanceOf(ClusterException.GenerationOver.class, apply(new Entry.AddVoter(4, 0)).error());
+        assertEquals(1, state.nextGeneration(4));
+        assertTrue(apply(new Entry.AddVoter(4, 3)).accepted());
+        assertInstanceOf(ClusterException.GenerationOver.class, apply(new Entry.AddVoter(4, 2)).error(), "older than one that was added");
+        assertTrue(apply(new Entry.RemoveVoter(5, 0)).accepted(), "one of the first voters, which nobody added");
+        Replicated copy = new Replicated(Map.of("heard", new Heard()));
+        copy.restore(state.snapshot());
+        assertArrayEquals(state.snapshot(), copy.snapshot());
+        assertFalse(copy.mayAdd(5, 0) || copy.mayAdd(4, 0));
+        assertTrue(copy.mayAdd(5, 1) && copy.mayAdd(4, 3) && copy.mayAdd(6, 0));
+        assertEquals(4, copy.nextGeneration(4));
+    }
+
     @Test
     void theSameNonceOpensTheSameSession() {
         long session = open();
--- /dev/null
+++ b/src/test/java/calicostream/cluster/SnapshotFormatTest.java
@@ -0,0 +1,77 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.cluster;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** Snapshots of every version are read for ever, and the last one is what is written today. */
+class SnapshotFormatTest {
+    private static final Path GOLDEN = Path.of("src/test/resources/cluster");
+
+    private static final class Text implements Machine {
+        private String text = "";
+
+        @Override
+        public Effects apply(long index, Command command) {
+            text += new String(command.body());
+            return Effects.answer(text.getBytes());
+        }
+
+        @Override
+        public byte[] snapshot() {
+            return text.getBytes();
+        }
+
+        @Override
+        public void restore(byte[] snapshot) {
+            text = new String(snapshot);
+        }
+    }
+
+    private static Replicated written() {
+        Replicated state = new Replicated(Map.of("text", new Text()));
+        state.apply(1, new Entry.Era(2, 77).encode());
+        state.apply(3, new Entry.Open(1, 5, 1500).encode());
+        state.apply(4, new Entry.Run(3, 1, 0, "text", "a".getBytes()).encode());
+        state.apply(6, new Entry.Open(4, 9, 2000).encode());
+        state.apply(7, new Entry.Run(3, 2, 1, "text", "b".getBytes()).encode());
+        state.apply(8, new Entry.Keep(6).encode());
+        state.apply(9, new Entry.AddVoter(4, 2).encode());
+        state.apply(10, new Entry.RemoveVoter(3, 0).encode());
+        return state;
+    }
+
+    /** Writes the golden file of the present version; those before it stay. */
+    public static void main(String[] args) throws Exception {
+        Files.write(GOLDEN.resolve("replicated-v2.snapshot"), written().snapshot());
+    }
+
+    private static Replicated read(String name) throws Exception {
+        Replicated state = new Replicated(Map.of("text", new Text()));
+        state.restore(Files.readAllBytes(GOLDEN.resolve(name)));
+        assertEquals(1, state.era());
+        assertEquals(new Entry.Era(2, 77), state.leader());
+        assertTrue(state.isAlive(3) && state.isAlive(6));
+        assertEquals("ab", new String(state.apply(11, new Entry.Run(3, 2, 1, "text", "b".getBytes()).encode()).answer()), "a retry");
+        return state;
+    }
+
+    @Test
+    void theFirstVersionIsReadAndKnowsNoGenerations() throws Exception {
+        assertTrue(read("replicated-v1.snapshot").mayAdd(3, 0));
+    }
+
+    @Test
+    void thePresentVersionIsWhatIsWritten() throws Exception {
+        Replicated state = read("replicated-v2.snapshot");
+        assertFalse(state.mayAdd(3, 0) || state.mayAdd(4, 1));
+        assertArrayEquals(Files.readAllBytes(GOLDEN.resolve("replicated-v2.snapshot")), written().snapshot());
+    }
+}
--- a/src/test/java/calicostream/cluster/sim/ClusterSimTest.java
+++ b/src/test/java/calicostream/cluster/sim/ClusterSimTest.java
@@ -49,9 +49,20 @@
         assertFalse(once.hash() == SimCluster.run(FIRST + 1, SimCluster.none()).hash());
     }
 
-    /** Runs that once ended without a leader, by an open pre-vote, by frames for a former self, by who was promoted unheard. */
+    @Test
+    void aRemovedVoterIsRefusedAndComesBackUnderTheNextGeneration() {
+        for (long seed = FIRST; seed < FIRST + 4; seed++) {
+            SimCluster.Result result = SimCluster.run(seed, SimCluster.none(), List.of(
+                    new Faults.Fault(1000, Faults.Kind.ADD_VOTER, 3, 0, 0), new Faults.Fault(2500, Faults.Kind.REMOVE_VOTER, 3, 0, 0),
+                    new Faults.Fault(3500, Faults.Kind.ADD_VOTER, 3, 0, 0)));
+            assertEquals("", result.fault(), "seed " + seed);
+            assertEquals(1, result.refused(), "seed " + seed);
+        }
+    }
+
+    /** Runs that once ended without a leader, by an open pre-vote, by frames for a former self, by who was promoted unheard, by who came back under a removed name. */
     @ParameterizedTest
-    @ValueSource(longs = {300_008, 300_072, 300_107})
+    @ValueSource(longs = {300_008, 300_072, 300_107, 320_023})
     void aRunThatOnceFailedEndsWithALeader(long seed) {
         assertEquals("", SimCluster.run(seed, SimCluster.none()).fault());
     }
--- a/src/test/java/calicostream/cluster/sim/SimCluster.java
+++ b/src/test/java/calicostream/cluster/sim/SimCluster.java
@@ -18,7 +18,6 @@
 import calicostream.durable.DurableLog;
 import calicostream.durable.Identity;
 import calicostream.durable.Options;
-import io.microraft.RaftEndpoint;
 import io.microraft.persistence.RestoredRaftState;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -46,7 +45,7 @@
 
     /** What a run came to; {@code fault} is empty if every check held. */
     record Result(long seed, String fault, long hash, long steps, long acknowledged, int eras, Map<Faults.Kind, Integer> faults,
-            int changes, int expired, int restored) {
+            int changes, int refused, int expired, int restored) {
     }
 
     private static final class Broken extends RuntimeException {
@@ -185,6 +184,7 @@
     private long acknowledged;
     private int changes;
     private int restored;
+    private int refused;
     private Broken broken;
 
     SimCluster(long seed, Set<Mutant> mutants) {
@@ -253,7 +253,7 @@
                 hosts.forEach(host -> System.out.println(host.name() + " " + host.voter));
             }
         }
-        return new Result(seed, fault, world.hash(), world.steps, acknowledged, leaders.size(), done, changes, expired.size(), restored);
+        return new Result(seed, fault, world.hash(), world.steps, acknowledged, leaders.size(), done, changes, refused, expired.size(), restored);
     }
 
     private Host host(int member) {
@@ -501,19 +501,44 @@
     /** A process that is no voter yet becomes a learner, then a voter. */
     private void addVoter(Host host) {
         leading().ifPresent(leader -> {
-            RaftEndpoint name = host.name();
-            if (host.down || leader.voter.voters().size() >= 5 || leader.voter.voters().contains(name)) {
+            if (host.down || leader.voter.voters().size() >= 5 || leader.voter.voters().contains(host.name())) {
+                return;
+            }
+            if (!leader.voter.state().mayAdd(host.process.member, host.generation)) {
+                comeBack(leader, host);
                 return;
             }
             if (!host.runsVoter) {
                 host.runsVoter = true;
                 host.startVoter();
             }
-            Runnable promote = () -> promote(host.name(), 5);
-            if (leader.voter.votersAndLearners().contains(name)) {
-                promote.run();
-            } else {
-                change(leader, Change.LEARN, host.name(), promote);
+            learn(leader, host);
+        });
+    }
+
+    private void learn(Host leader, Host host) {
+        Runnable promote = () -> promote(host.name(), 5);
+        if (leader.voter.votersAndLearners().contains(host.name())) {
+            promote.run();
+        } else {
+            change(leader, Change.LEARN, host.name(), promote);
+        }
+    }
+
+    /** It was removed: the leader refuses its old generation, and it comes back with empty disks under the next. */
+    private void comeBack(Host leader, Host host) {
+        Voter old = host.name();
+        leader.voter.change(Change.LEARN, old, error -> {
+            if (error == null) {
+                broken = new Broken(old + " was removed and added again");
+            } else if (error instanceof ClusterException.GenerationOver && !host.down && host.name().equals(old)) {
+                refused++;
+                host.crash();
+                host.generation = leader.voter.state().nextGeneration(host.process.member);
+                host.newDisks();
+                host.runsVoter = true;
+                host.start();
+                learn(leader, host);
             }
         });
     }
