--- a/src/test/java/calicostream/cluster/sim/SimCluster.java
+++ b/src/test/java/calicostream/cluster/sim/SimCluster.java
@@ -6,9 +6,12 @@
 import calicostream.cluster.Entry;
 import calicostream.cluster.Frame;
 import calicostream.cluster.Links;
+import calicostream.cluster.Machine;
 import calicostream.cluster.MemberSession;
+import calicostream.cluster.Newsroom;
 import calicostream.cluster.Outcome;
 import calicostream.cluster.Replicated;
+import calicostream.cluster.Timekeeper;
 import calicostream.cluster.raft.Change;
 import calicostream.cluster.raft.StoreOnLog;
 import calicostream.cluster.raft.Voter;
@@ -66,6 +69,7 @@
         boolean runsVoter;
         boolean down;
         MemberSession member;
+        Newsroom newsroom;
         int lives;
 
         Host(int id) {
@@ -95,10 +99,17 @@
             if (log.recovered().own().doubt() != Amnesia.Doubt.NONE && mutants.isEmpty()) {
                 throw new Broken(name() + " doubts an honest disk: " + log.recovered().own());
             }
+            Map<String, Machine> machines = new TreeMap<>(Map.of("lists", lists));
+            Map<String, Timekeeper> timekeepers = new TreeMap<>();
+            guest.parts(process.member).forEach((name, part) -> {
+                machines.put(name, part.machine());
+                timekeepers.put(name, part.timekeeper());
+            });
             Optional<RestoredRaftState> restored = StoreOnLog.restored(log.recovered());
             voter = new VoterNode(new VoterNode.Settings(name(), first, 50, 5, 200, QUEUE, 40), process,
                     (to, frame) -> send(process.member, to, frame), new StoreOnLog(log), restored,
-                    new Replicated(Map.of("lists", lists)), Map.of(), new Random(world.random.nextLong()), this::failed);
+                    new Replicated(machines), timekeepers, new Random(world.random.nextLong()), this::failed);
+            newsroom = new Newsroom(voter.state(), process.member);
             voter.start();
         }
 
@@ -111,11 +122,13 @@
         void startMember() {
             long mark = ((long) process.member << 40) + ((long) ++lives << 32);
             member = new MemberSession(new MemberSession.Settings(process.member, TTL, 150, MEMBER_QUEUE), voterIds, mark);
+            guest.memberStarts(process.member, process, member);
             tick();
             load();
         }
 
         void tick() {
+            guest.tick(process.member);
             for (MemberSession.Send send : member.tick(process.nanos())) {
                 send(process.member, send.voter(), send.frame());
             }
@@ -139,6 +152,7 @@
                 voter = null;
             }
             member = null;
+            guest.memberDies(process.member);
         }
 
         void start() {
@@ -155,6 +169,8 @@
             world.trace("received " + process.member, bytes);
             if (frame instanceof Frame.Reply reply && member != null) {
                 member.received(from, reply, process.nanos());
+            } else if (frame instanceof Frame.News news && member != null) {
+                guest.news(process.member, new Replicated.News(news.machine(), news.index(), news.event()));
             }
             if (voter != null) {
                 voter.received(from, mutants.contains(Mutant.RETRY_WITHOUT_NUMBER) && voter.leads() ? renumber(bytes) : bytes);
@@ -164,6 +180,7 @@
 
     private final long seed;
     private final Set<Mutant> mutants;
+    private final Guest guest;
     private final World world;
     private final List<Host> hosts = new ArrayList<>();
     private final List<Voter> first = new ArrayList<>();
@@ -187,9 +204,10 @@
     private int refused;
     private Broken broken;
 
-    SimCluster(long seed, Set<Mutant> mutants) {
+    SimCluster(long seed, Set<Mutant> mutants, Guest guest) {
         this.seed = seed;
         this.mutants = mutants;
+        this.guest = guest;
         this.world = new World(seed);
         int voters = world.random.nextInt(3) == 0 ? 5 : 3;
         int processes = voters + 4;
@@ -211,7 +229,12 @@
     }
 
     static Result run(long seed, Set<Mutant> mutants, List<Faults.Fault> faults) {
-        return new SimCluster(seed, mutants).run(faults);
+        return run(seed, mutants, faults, Guest.NONE);
+    }
+
+    /** With a guest, whose plan of faults may be its own; a run without one is not changed by this. */
+    static Result run(long seed, Set<Mutant> mutants, List<Faults.Fault> faults, Guest guest) {
+        return new SimCluster(seed, mutants, guest).run(faults);
     }
 
     /** The plan without the faults that the failure does not need. */
@@ -234,6 +257,7 @@
     private Result run(List<Faults.Fault> faults) {
         String fault = "";
         try {
+            guest.enters(new Powers());
             hosts.forEach(Host::start);
             for (Faults.Fault f : faults) {
                 world.at(f.atMillis() * MILLI, () -> cause(f));
@@ -242,6 +266,7 @@
             heal();
             world.run(8_000 * MILLI, this::check);
             loading = false;
+            guest.settles();
             for (long until = 9_000; until <= 20_000 && !settled(); until += 500) {
                 world.run(until * MILLI, this::check);
             }
@@ -332,6 +357,7 @@
         if (broken != null) {
             throw broken;
         }
+        hold(guest.fault());
         Host host = host(process.member);
         if (host.member != null && host.member.waiting() > MEMBER_QUEUE + 1) {
             throw new Broken("a member's queue grew to " + host.member.waiting());
@@ -349,7 +375,12 @@
                 throw new Broken("term " + voter.term() + " is led by " + other + " and " + host.name());
             }
         }
-        for (Replicated.News news : voter.state().takeNews()) {
+        List<Replicated.News> taken = voter.state().takeNews();
+        if (guest.isTold()) {
+            host.newsroom.tell(taken, voter.leads(), process.nanos()).forEach(each -> send(process.member, each.member(), each.frame()));
+        }
+        for (Replicated.News news : taken) {
+            guest.news(process.member, news);
             if (news.event().kind().equals("session-expired")) {
                 long session = new Bytes.Reader("session", news.event().body()).i64();
                 if (expired.add(session)) {
@@ -359,6 +390,53 @@
         }
     }
 
+    private static void hold(String fault) {
+        if (!fault.isEmpty()) {
+            throw new Broken(fault);
+        }
+    }
+
+    /** What a guest may do. */
+    private final class Powers implements Guest.Powers {
+        @Override
+        public long now() {
+            return world.now();
+        }
+
+        @Override
+        public Random random() {
+            return world.random;
+        }
+
+        @Override
+        public int members() {
+            return hosts.size();
+        }
+
+        @Override
+        public void at(long time, Runnable task) {
+            world.at(time, task);
+        }
+
+        @Override
+        public boolean isUp(int member) {
+            return !host(member).down;
+        }
+
+        @Override
+        public void kill(int member, int afterMillis) {
+            if (!host(member).down) {
+                host(member).crash();
+                restart(host(member), afterMillis);
+            }
+        }
+
+        @Override
+        public void stall(int member, int millis) {
+            host(member).process.stoppedUntil = world.now() + millis * MILLI;
+        }
+    }
+
     private void expired(long session) {
         for (Host host : hosts) {
             boolean alive = host.member != null && host.member.session() == session
@@ -612,6 +690,7 @@
     }
 
     private void end() {
+        hold(guest.end());
         List<Host> voters = new ArrayList<>();
         Host leader = leading().orElseThrow(() -> new Broken("no leader after " + world.now() / MILLI + " ms"));
         for (Host host : hosts) {
--- /dev/null
+++ b/src/test/java/calicostream/lease/LeaseBook.java
@@ -0,0 +1,115 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.lease;
+
+import calicostream.cluster.Command;
+import calicostream.cluster.Effects;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Judges what the log did to the leases, entry by entry as any copy is the first to apply it: who was due to be granted what, from a queue
+ * of its own. It takes the machine's answers for what they say and the rules from the page.
+ */
+final class LeaseBook {
+    private final Map<String, List<Long>> queues = new HashMap<>();
+    private final Map<String, Long> tokens = new HashMap<>();
+    private final Set<Long> acts = new HashSet<>();
+    private final Map<String, Long> acted = new HashMap<>();
+    private long lastIndex;
+    private long lastToken;
+    private int granted;
+    private int fromQueue;
+    private String fault = "";
+
+    /** "" if all held. */
+    String fault() {
+        return fault;
+    }
+
+    int granted() {
+        return granted;
+    }
+
+    /** Grants to whoever had waited longest, or had been named. */
+    int fromQueue() {
+        return fromQueue;
+    }
+
+    long lastToken() {
+        return lastToken;
+    }
+
+    /** @return whether this copy is the first that applied it */
+    boolean applied(long index, Command command, Effects effects) {
+        if (index <= lastIndex) {
+            return false;
+        }
+        lastIndex = index;
+        LeaseCommand said = LeaseCommand.decode(command.body());
+        if (said instanceof LeaseCommand.Transfer t && effects.accepted() && t.to() != 0) {
+            List<Long> queue = queues.get(t.name());
+            queue.remove(t.to());
+            queue.add(0, t.to());
+        }
+        events(command.session(), effects);
+        if (!effects.accepted()) {
+            return true;
+        }
+        if (said instanceof LeaseCommand.Withdraw) {
+            queues.getOrDefault(said.name(), List.of()).remove(command.session());
+        } else if (said instanceof LeaseCommand.Acquire && LeaseAnswer.decode(effects.answer()) instanceof LeaseAnswer.Waits waits) {
+            List<Long> queue = queues.computeIfAbsent(said.name(), any -> new ArrayList<>());
+            queue.add(command.session());
+            judge(waits.place() == queue.size(), "place " + waits.place() + " of " + queue);
+        }
+        return true;
+    }
+
+    boolean ended(long index, long session, Effects effects) {
+        if (index <= lastIndex) {
+            return false;
+        }
+        lastIndex = index;
+        queues.values().forEach(queue -> queue.remove(session));
+        events(0, effects);
+        return true;
+    }
+
+    private void events(long by, Effects effects) {
+        for (Effects.Event each : effects.events()) {
+            LeaseEvent event = LeaseEvent.decode(each);
+            String name = event.name();
+            if (event instanceof LeaseEvent.Granted g) {
+                granted++;
+                judge(g.token() > lastToken, "token " + g.token() + " is given after " + lastToken);
+                judge(!tokens.containsKey(name), "lease " + name + " is granted under " + g.token() + " and was not free");
+                List<Long> queue = queues.getOrDefault(name, List.of());
+                if (queue.isEmpty()) {
+                    judge(g.session() == by, "lease " + name + " is granted to " + g.session() + ", which did not ask");
+                } else {
+                    fromQueue++;
+                    judge(queue.remove(0) == g.session(), "lease " + name + " is granted to " + g.session() + " before its turn");
+                }
+                lastToken = g.token();
+                tokens.put(name, g.token());
+            } else if (event instanceof LeaseEvent.Freed f) {
+                judge(tokens.remove(name, f.token()), "lease " + name + " is freed of token " + f.token() + ", which does not hold it");
+            } else if (event instanceof LeaseEvent.Acted a) {
+                judge(acts.add(new calicostream.cluster.Bytes.Reader("act", a.payload()).i64()), "an act counts twice");
+                judge(a.token() >= acted.getOrDefault(name, 0L), "the log takes an act of " + name + " under token " + a.token()
+                        + " after one under " + acted.get(name));
+                acted.put(name, a.token());
+            }
+        }
+    }
+
+    private void judge(boolean holds, String otherwise) {
+        if (!holds && fault.isEmpty()) {
+            fault = otherwise;
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/calicostream/lease/SimLeases.java
@@ -0,0 +1,321 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.lease;
+
+import calicostream.cluster.Bytes;
+import calicostream.cluster.Command;
+import calicostream.cluster.Effects;
+import calicostream.cluster.Machine;
+import calicostream.cluster.MemberSession;
+import calicostream.cluster.Reactor;
+import calicostream.cluster.Replicated;
+import calicostream.cluster.sim.Guest;
+import calicostream.prove.Mutant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Leases on a simulated cluster: each member wants two, acts by the log and at a resource whose messages may take three times to live, as
+ * if it had been stopped between its check and its act, and changes its mind. After each event no two members believe that they hold the
+ * same, nobody believes it whose lease was granted on, and the resource took no act after one under a later token.
+ */
+public final class SimLeases implements Guest {
+    private static final long MILLI = 1_000_000;
+    private static final long SHORT = 1000 * MILLI;
+    private static final long LONG = 3000 * MILLI; // twice a session's: who is cut off may hold when its session is over
+    private static final long FAULTS_END = 6_000 * MILLI;
+    private static final String[] NAMES = {"divide", "roll"};
+    private static final int OUTSIDE = 4; // members that run no voter unless one is added
+    private static final String MACHINE = "lease";
+
+    /** What goes wrong beside what the cluster itself draws. */
+    public enum Plan {
+        /** Holders are killed, stopped past their end, told to stop, and sessions change their mind. */
+        ALL,
+        /** Holders are killed, one after the other, and leaders with them where they are the same; nothing else. */
+        KILLS,
+        /** Likewise, and only members that run no voter want the leases. */
+        KILLS_OUTSIDE
+    }
+
+    private final class Member {
+        private final int id;
+        private final Reactor process;
+        private final MemberSession session;
+        private final LeaseClient client;
+        private final List<Holder> holders = new ArrayList<>();
+
+        Member(int id, Reactor process, MemberSession session) {
+            this.id = id;
+            this.process = process;
+            this.session = session;
+            client = new LeaseClient(session, MACHINE, process::nanos);
+            for (String name : NAMES) {
+                long ttl = ttl(name);
+                Holder holder = client.add(parts.holder(name, ttl, new Holder(name, ttl, process.nanos()).state()));
+                holders.add(holder);
+                if (!resting && (plan != Plan.KILLS_OUTSIDE || id > world.members() - OUTSIDE)) {
+                    holder.want();
+                }
+            }
+            act();
+        }
+
+        /** Checks and acts, at the resource by a message that nothing holds back once it is out. */
+        void act() {
+            Holder holder = holders.get(world.random().nextInt(NAMES.length));
+            Acts acts = client.acts(holder);
+            if (world.random().nextInt(4) == 0) {
+                Fenced.Outcome<LeaseCommand.Act> command = acts.inLog(new Bytes.Writer().i64(++acted).done());
+                if (command.isDone()) {
+                    session.run(MACHINE, command.result().encode(), outcome -> { });
+                }
+            } else {
+                acts.at((lease, token, payload) -> {
+                    boolean held = world.random().nextInt(40) == 0;
+                    long late = held ? world.random().nextInt((int) (3 * ttl(lease) / MILLI)) * MILLI : 0;
+                    world.at(world.now() + MILLI + late, () -> resource(lease, token));
+                    return Fenced.Outcome.done(null);
+                }, null);
+            }
+            process.schedule(this::act, (10 + world.random().nextInt(50)) * MILLI);
+        }
+
+        boolean holds(int which) {
+            Holder holder = holders.get(which);
+            // A copy is asked: the question must not tell the holder that its time is over.
+            return holder.phase() == Holder.Phase.HELD && new Holder(holder.name(), ttl(holder.name()), Drift.BOUND, holder.state()).mayAct(process.nanos());
+        }
+    }
+
+    private final Parts parts;
+    private final Plan plan;
+    private final boolean told;
+    private final Map<Integer, Member> members = new TreeMap<>();
+    private final LeaseBook book = new LeaseBook();
+    private final Fence fence;
+    private final Map<String, Long> atResource = new HashMap<>();
+    private final Map<Integer, Long> killed = new HashMap<>();
+    private final Map<Integer, Long> killedToken = new HashMap<>();
+    private final List<Double> handOvers = new ArrayList<>();
+    private Powers world;
+    private boolean resting;
+    private long acted;
+    private int accepted;
+    private int refused;
+    private String fault = "";
+
+    /** @param without the safeguard taken out; null: none; @param told whether members without a copy are told of grants */
+    public SimLeases(Plan plan, Mutant without, boolean told) {
+        this.plan = plan;
+        this.told = told;
+        parts = new Parts(without, Limits.STANDARD, Drift.BOUND);
+        fence = parts.fence(NAMES[0], 0);
+    }
+
+    /** From the kill of a holder to the next holder's first act, in times to live. */
+    public List<Double> handOvers() {
+        return handOvers;
+    }
+
+    /** Acts that the resource took and refused, grants, and those of them that somebody had waited for. */
+    public List<Integer> counts() {
+        return List.of(accepted, refused, book.granted(), book.fromQueue());
+    }
+
+    private long ttl(String name) {
+        return plan == Plan.ALL && name.equals(NAMES[1]) ? LONG : SHORT;
+    }
+
+    @Override
+    public void enters(Powers powers) {
+        world = powers;
+        next(plan == Plan.ALL ? 500 : 2_500);
+    }
+
+    @Override
+    public boolean isTold() {
+        return told;
+    }
+
+    @Override
+    public Map<String, Part> parts(int member) {
+        LeaseMachine machine = parts.machine(null);
+        Machine watched = new Machine() {
+            @Override
+            public Effects apply(long index, Command command) {
+                Effects effects = machine.apply(index, command);
+                if (book.applied(index, command, effects)) {
+                    granted(effects);
+                }
+                return effects;
+            }
+
+            @Override
+            public Effects sessionEnded(long index, long session) {
+                Effects effects = machine.sessionEnded(index, session);
+                if (book.ended(index, session, effects)) {
+                    granted(effects);
+                }
+                return effects;
+            }
+
+            @Override
+            public byte[] query(byte[] question) {
+                return machine.query(question);
+            }
+
+            @Override
+            public byte[] snapshot() {
+                return machine.snapshot();
+            }
+
+            @Override
+            public void restore(byte[] snapshot) {
+                machine.restore(snapshot);
+            }
+        };
+        return Map.of(MACHINE, new Part(watched, parts.watch(machine, Map.of())));
+    }
+
+    @Override
+    public void memberStarts(int member, Reactor process, MemberSession session) {
+        members.put(member, new Member(member, process, session));
+    }
+
+    @Override
+    public void memberDies(int member) {
+        members.remove(member);
+    }
+
+    @Override
+    public void tick(int member) {
+        members.get(member).client.tick();
+    }
+
+    @Override
+    public void news(int member, Replicated.News news) {
+        if (news.machine().equals(MACHINE) && members.containsKey(member)) {
+            members.get(member).client.news(LeaseEvent.decode(news.event()));
+        }
+    }
+
+    @Override
+    public void settles() {
+        resting = true;
+        members.values().forEach(each -> each.holders.forEach(Holder::stop));
+    }
+
+    // ---- Faults ---------------------------------------------------------------------------------------
+    private void next(long millis) {
+        world.at(world.now() + millis * MILLI, () -> {
+            if (world.now() > FAULTS_END || resting) {
+                return;
+            }
+            int which = world.random().nextInt(NAMES.length);
+            members.values().stream().filter(each -> each.holds(which)).findFirst().ifPresent(holding -> cause(holding, which));
+            next(plan == Plan.ALL ? 100 + world.random().nextInt(1_500) : 2_200);
+        });
+    }
+
+    private void cause(Member holding, int which) {
+        Holder holder = holding.holders.get(which);
+        switch (plan == Plan.ALL ? world.random().nextInt(6) : 0) {
+            case 0 -> {
+                for (int each = 0; each < NAMES.length; each++) {
+                    if (holding.holds(each)) {
+                        killed.put(each, world.now());
+                        killedToken.put(each, holding.holders.get(each).token());
+                    }
+                }
+                world.kill(holding.id, 500 + world.random().nextInt(1_000));
+            }
+            case 1 -> world.stall(holding.id, (int) (3 * SHORT / MILLI));
+            case 2 -> world.stall(holding.id, world.random().nextInt((int) (2 * SHORT / MILLI)));
+            case 3 -> {
+                holder.transfer(0);
+                wantAgain(holding, holder);
+            }
+            case 4 -> {
+                // Who waits is stopped when its turn comes, and hears of it when it has lapsed.
+                members.values().stream().filter(each -> each.holders.get(which).phase() == Holder.Phase.WAITING)
+                        .forEach(each -> world.stall(each.id, (int) (2 * SHORT / MILLI) + world.random().nextInt(500)));
+                holder.transfer(0);
+                wantAgain(holding, holder);
+            }
+            default -> {
+                holder.stop();
+                wantAgain(holding, holder);
+            }
+        }
+    }
+
+    private void wantAgain(Member member, Holder holder) {
+        world.at(world.now() + world.random().nextInt(500) * MILLI, () -> {
+            if (!resting && members.get(member.id) == member) {
+                holder.want();
+            }
+        });
+    }
+
+    // ---- Judgement ------------------------------------------------------------------------------------
+    /** It is granted in the log: whoever held before must know by now, by its own clock. */
+    private void granted(Effects effects) {
+        for (Effects.Event each : effects.events()) {
+            if (LeaseEvent.decode(each) instanceof LeaseEvent.Granted granted) {
+                int which = granted.name().equals(NAMES[0]) ? 0 : 1;
+                members.values().stream().filter(member -> member.holds(which)).forEach(member -> judge(false, "member " + member.id
+                        + " believes to hold " + granted.name() + " when it is granted under token " + granted.token()));
+            } else if (LeaseEvent.decode(each) instanceof LeaseEvent.Acted act) {
+                did(act.name(), act.token());
+            }
+        }
+    }
+
+    private void resource(String lease, long token) {
+        if (fence.admit(lease, token).isPresent()) {
+            refused++;
+            return;
+        }
+        accepted++;
+        judge(token >= atResource.getOrDefault(lease, 0L),
+                "the resource takes an act of " + lease + " under token " + token + " after one under " + atResource.get(lease));
+        atResource.put(lease, token);
+        did(lease, token);
+    }
+
+    private void did(String lease, long token) {
+        int which = lease.equals(NAMES[0]) ? 0 : 1;
+        if (killed.containsKey(which) && token > killedToken.get(which)) {
+            handOvers.add((double) (world.now() - killed.remove(which)) / ttl(lease));
+        }
+    }
+
+    private void judge(boolean holds, String otherwise) {
+        if (!holds && fault.isEmpty()) {
+            fault = otherwise;
+        }
+    }
+
+    @Override
+    public String fault() {
+        judge(book.fault().isEmpty(), book.fault());
+        for (int which = 0; which < NAMES.length && fault.isEmpty(); which++) {
+            Member holding = null;
+            for (Member each : members.values()) {
+                if (each.holds(which)) {
+                    judge(holding == null, "members " + (holding == null ? 0 : holding.id) + " and " + each.id + " believe to hold " + NAMES[which]);
+                    holding = each;
+                }
+            }
+        }
+        return fault;
+    }
+
+    @Override
+    public String end() {
+        return accepted == 0 ? "nobody acted" : "";
+    }
+}
