Session budgets in the cluster's settings: pools, tenants, how one is known

Budgets had no settings of their own. [budget], [pools] and [tenants] give weight, guarantee and ceiling by pool or over all, caps and floors, and by what a tenant is known: call option, login, session catalog, listening address, client range, default. Floors or guarantees over a cap, a kind or a word that two have, and grants shorter than a change of leader are one line with file, line and key.

--- a/src/main/java/calicostream/budget/BudgetException.java
+++ b/src/main/java/calicostream/budget/BudgetException.java
@@ -42,9 +42,23 @@
     public static final class BadSetting extends BudgetException {
         private static final long serialVersionUID = 1L;
         public static final String CODE = "budget-bad-setting";
+        private final String key;
+        private final String why;
 
         public BadSetting(String key, String why) {
             super(CODE, key + ": " + why, "Correct the key that is named; the fleet goes on with the settings it has.");
+            this.key = key;
+            this.why = why;
+        }
+
+        /** Dotted, as in the file. */
+        public String key() {
+            return key;
+        }
+
+        /** What is wrong with it. */
+        public String why() {
+            return why;
         }
     }
 
--- a/src/main/java/calicostream/cluster/config/ClusterConfig.java
+++ b/src/main/java/calicostream/cluster/config/ClusterConfig.java
@@ -26,10 +26,11 @@
  * @param members others that this one is to reach, none of the first voters
  * @param links where this member reaches another one, by its number, if not at that one's own address
  * @param driftPpm how far any clock may run from real time
+ * @param budget session budgets of tenants, where the file turns them on
  */
 public record ClusterConfig(String cluster, Member self, int generation, Path data, Path marks, List<Member> voters,
         List<Member> members, Map<Integer, InetSocketAddress> links, Raft raft, Session session, Duration leaseTtl, int driftPpm,
-        Disk disk) {
+        Disk disk, Optional<BudgetConfig> budget) {
     private static final long SYNC_WARNING = 500_000_000; // ns, unless a leader is doubted sooner than after twice that
     private static final String NAME = "[A-Za-z0-9][A-Za-z0-9._-]{0,62}";
 
@@ -84,16 +85,20 @@
         Section clock = file.section("clock");
         Section lease = file.section("lease");
         Raft raft = raft(file.section("raft"));
+        int drift = clock.ppm("drift", "500ppm", "500ppm", "100000ppm");
         Member self = self(member, voters, members);
         Path data = member.path("data");
         return Optional.of(new ClusterConfig(name(file.section("cluster"), "name"), self,
                 member.count("generation", 0, 0, 1 << 20), data, member.has("marks") ? member.path("marks") : data, voters, members,
                 links(file, self, voters, members), raft, session(file.section("session"), raft), lease.span("ttl", "5s", "1s", "1h"),
-                clock.ppm("drift", "500ppm", "500ppm", "100000ppm"), disk(file.section("disk"), raft)));
+                drift, disk(file.section("disk"), raft), BudgetConfig.of(file, drift, doubted(raft).plus(raft.election))));
     }
 
     private static String name(Section section, String key) {
-        String name = section.text(key);
+        return name(section, key, section.text(key));
+    }
+
+    static String name(Section section, String key, String name) {
         if (!name.matches(NAME)) {
             throw section.wrong(Code.OUT_OF_RANGE, key, "'" + name
                     + "', 1 to 63 letters, digits, dots, dashes and underscores allowed");
--- a/src/main/java/calicostream/cluster/config/ClusterConfigException.java
+++ b/src/main/java/calicostream/cluster/config/ClusterConfigException.java
@@ -19,7 +19,7 @@
         WRONG_TYPE("cluster-config-wrong-type", "Write a value of the type that the line asks for."),
         WRONG_UNIT("cluster-config-wrong-unit", "Write a whole number and one of the units that the line names."),
         OUT_OF_RANGE("cluster-config-out-of-range", "Choose a value within the bounds that the line names."),
-        OVERLAP("cluster-config-overlap", "Give each member a name, number and address of its own."),
+        OVERLAP("cluster-config-overlap", "Give each one its own: a member its name, number and address, a tenant what it is known by."),
         IMPOSSIBLE("cluster-config-impossible", "Change one of the two settings that the line names.");
 
         private final String text;
--- a/src/main/java/calicostream/cluster/config/SettingsFile.java
+++ b/src/main/java/calicostream/cluster/config/SettingsFile.java
@@ -179,6 +179,41 @@
             return value;
         }
 
+        /** Texts in the file's order, none where the key is not there; one that comes twice is a mistake. */
+        public List<String> texts(String key) {
+            return list(key, String.class, "an array of texts in quotes").stream().map(text -> {
+                if (text.isBlank()) {
+                    throw wrong(Code.OUT_OF_RANGE, key, "one is empty");
+                }
+                return text;
+            }).toList();
+        }
+
+        /** Whole numbers from 0 on, in the file's order. */
+        public List<Integer> counts(String key, int most) {
+            return list(key, Long.class, "an array of whole numbers").stream().map(value -> {
+                if (value < 0 || value > most) {
+                    throw wrong(Code.OUT_OF_RANGE, key, value + ", 0 to " + most + " allowed");
+                }
+                return value.intValue();
+            }).toList();
+        }
+
+        private <T> List<T> list(String key, Class<T> type, String called) {
+            TomlArray array = take(key, TomlArray.class, called);
+            List<T> out = new ArrayList<>();
+            for (Object each : array == null ? List.of() : array.toList()) {
+                if (!type.isInstance(each)) {
+                    throw wrong(Code.WRONG_TYPE, key, called + " is needed");
+                }
+                if (out.contains(each)) {
+                    throw wrong(Code.OVERLAP, key, "'" + each + "' comes twice");
+                }
+                out.add(type.cast(each));
+            }
+            return out;
+        }
+
         /** A whole number within bounds; {@code without} is taken as it is, and null stands for a key that is needed. */
         public int count(String key, Integer without, int least, int most) {
             Long value = take(key, Long.class, "a whole number");
@@ -224,9 +259,15 @@
         /** An address and port that others can reach this one at; null where there is none. */
         public InetSocketAddress address(String key, InetSocketAddress without) {
             String value = text(key, null);
-            if (value == null) {
-                return without;
-            }
+            return value == null ? without : reachable(key, value);
+        }
+
+        /** Such addresses in the file's order, none where the key is not there. */
+        public List<InetSocketAddress> addresses(String key) {
+            return texts(key).stream().map(value -> reachable(key, value)).toList();
+        }
+
+        private InetSocketAddress reachable(String key, String value) {
             try {
                 InetSocketAddress out = Address.of(value);
                 if (out.isUnresolved() || out.getPort() == 0 || out.getAddress().isAnyLocalAddress()) {
