The module asks one predicate whether a request's tenant has room at an engine

The engine was chosen with no word of budgets. Fronts tell listening address, client, login and catalog where they are asked.

--- a/src/main/java/calicostream/Logic.java
+++ b/src/main/java/calicostream/Logic.java
@@ -384,13 +384,14 @@
         return g.order;
     }
 
-    /** What the rules allow: state, placement, repeats by key, cold starts. None of these ever yields. */
+    /** What the rules allow: state, placement, repeats by key, cold starts, budgets. None ever yields. */
     private boolean lawful(long now, Job job, Node n) {
         QueryClass spec = job.spec;
         boolean placed = (spec.zones().isEmpty() || spec.zones().contains(n.entry.zone()))
                 && (spec.kinds().isEmpty() || spec.kinds().contains(n.entry.kind()));
         boolean here = job.query.pinned() == 0 || job.query.pinned() == n.id;
-        return here && ready(n) && placed && repeatable(now, job, n.entry) && warmEnough(now, job, n);
+        return here && ready(n) && placed && repeatable(now, job, n.entry) && warmEnough(now, job, n)
+                && actions.mayUse(job.query.id(), n.id);
     }
 
     private static boolean repeatable(long now, Job job, Engine e) {
@@ -490,10 +491,8 @@
     private Node choose(long now, Job job, List<Node> from) {
         Group g = job.group;
         g.set.values().removeIf(used -> now - used > SET_IDLE);
-        if (g.set.isEmpty()) {
+        if (g.set.isEmpty() || overloaded(now, g)) {
             gainLeastLoaded(now, g, from);
-        } else {
-            growIfOverloaded(now, g, from);
         }
         Predicate<Node> inSet = n -> g.set.containsKey(n.id);
         Comparator<Node> told = leastLoaded(now);
@@ -549,7 +548,7 @@
     }
 
     /** Overload: the group's part of our work tops its set's part of the cores, by what that reports. */
-    private void growIfOverloaded(long now, Group g, List<Node> from) {
+    private boolean overloaded(long now, Group g) {
         double load = 0;
         double cores = 0;
         for (long id : g.set.keySet()) {
@@ -558,9 +557,7 @@
         }
         double part = faded(g.work, now, 0) / Math.max(1, faded(work, now, 0));
         double strain = Math.max(1, load / g.set.size() / Math.max(LOAD_STEP, mean()));
-        if (part * strain > cores / Math.max(1, fleetCores)) {
-            gainLeastLoaded(now, g, from);
-        }
+        return part * strain > cores / Math.max(1, fleetCores);
     }
 
     /** A sum whose old parts fade, with an amount added. */
--- a/src/main/java/calicostream/QueryRouter.java
+++ b/src/main/java/calicostream/QueryRouter.java
@@ -88,6 +88,14 @@
         /** Asks to be told of roster changes from now on; used only where {@link Settings#rosterOnRequest}. */
         void subscribeRoster();
 
+        /**
+         * Whether the query's tenant has room at this engine now; what it has can only grow until the module is next called,
+         * but for what the module sends. Asked for each engine in question, so the answer comes from memory.
+         */
+        default boolean mayUse(long query, long engine) {
+            return true;
+        }
+
         /** A line for the operators' log. */
         void log(String text);
     }
--- a/src/main/java/calicostream/core/Engines.java
+++ b/src/main/java/calicostream/core/Engines.java
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 package calicostream.core;
 
+import calicostream.QueryRouter.Outcome;
+import calicostream.QueryRouter.Report;
 import java.net.InetSocketAddress;
 
 /**
@@ -14,6 +16,22 @@
     /** Where an engine listens, told before the engine is first sent to and when that changes. */
     void locate(long engine, InetSocketAddress address);
 
+    /**
+     * Whether the module may hear of a request now. If not, it is kept here until {@link Gateway#admitted} or
+     * {@link Gateway#turnAway}, or until it {@link Gateway.Request#isOver is over}.
+     */
+    default boolean admits(Gateway.Request request) {
+        return true;
+    }
+
+    /** Whether the tenant of a request has room at an engine now; answered from memory, many times a request. */
+    default boolean mayUse(Gateway.Request request, long engine) {
+        return true;
+    }
+
+    /** An attempt is over, whoever ended it; told before the module hears of it. The report is null where none came. */
+    default void over(Gateway.Attempt attempt, Outcome outcome, Report report) { }
+
     /** Starts an attempt; nothing of it may go out after a {@link #withdrawn} for its engine. */
     void send(Gateway.Attempt attempt);
 
--- a/src/main/java/calicostream/core/Front.java
+++ b/src/main/java/calicostream/core/Front.java
@@ -1,6 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 package calicostream.core;
 
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+
 /** Where requests come from. Each request that {@link Gateway#accept} took gets exactly one of these calls. */
 public interface Front {
     /** All of the result in the engine side's form, text unless the front asked for work; after {@link #begun} its end. */
@@ -22,6 +25,23 @@
     /** Failed, with nothing promised about its effect. */
     void failed(long tag, Failure why);
 
+    // What its wire tells of who sent a request that is not over, where anybody asks; null where it has no such word.
+    default String login(long tag) {
+        return null;
+    }
+
+    default String catalog(long tag) {
+        return null;
+    }
+
+    default InetSocketAddress listening(long tag) {
+        return null;
+    }
+
+    default InetAddress client(long tag) {
+        return null;
+    }
+
     /** Why a request failed; {@code CUT}: after its result had begun. */
     enum Failure { DEADLINE, ENGINE, CUT }
 }
--- a/src/main/java/calicostream/core/Gateway.java
+++ b/src/main/java/calicostream/core/Gateway.java
@@ -80,6 +80,20 @@
             return spec.inOrder() && asked.key() != 0;
         }
 
+        /** Who asked, and under which tag. */
+        public Front front() {
+            return front;
+        }
+
+        public long tag() {
+            return tag;
+        }
+
+        /** Nothing more is owed for it. */
+        public boolean isOver() {
+            return answered;
+        }
+
         public int priority() {
             return priority;
         }
@@ -193,9 +207,25 @@
 
     /** The module hears of it. It may have waited until another process of this front end was done with its key. */
     private void arrive(Request request) {
+        if (engines.admits(request)) {
+            admitted(request);
+        }
+    }
+
+    /** The engine side takes a request to the module that it had kept; it may be over by now. */
+    public void admitted(Request request) {
         long now = clock.now();
-        request.told = true;
-        tell(r -> r.query(now, request.asked.leaving(request.deadline - now)));
+        if (!request.answered && !request.told) {
+            request.told = true;
+            tell(r -> r.query(now, request.asked.leaving(request.deadline - now)));
+        }
+    }
+
+    /** The engine side turns a request away that it has kept or was just asked to admit. */
+    public void turnAway(Request request, long retryAfterUs) {
+        if (!request.told) {
+            refuse(request.handle, retryAfterUs);
+        }
     }
 
     private void left(Request request) {
@@ -443,6 +473,12 @@
         engines.send(attempt);
     }
 
+    @Override
+    public boolean mayUse(long query, long engine) {
+        Request request = requests.get(query);
+        return request == null || engines.mayUse(request, engine);
+    }
+
     @Override
     public void cancel(long query, int number) {
         Request request = requests.get(query);
@@ -559,7 +595,7 @@
             tell(r -> {
                 if (request.told) {
                     fail(handle);
-                } else { // It has waited for its key all the time.
+                } else { // It has waited for its key or for room all the time.
                     refuse(handle, 0);
                 }
                 r.abandoned(now, handle);
@@ -593,6 +629,7 @@
             left(request);
         }
         request.mayHaveRun |= end.outcome.mayHaveRun;
+        engines.over(attempt, end.outcome, end.report);
         boolean serves = end.outcome == QueryRouter.Outcome.OK && !request.answered;
         long now = clock.now();
         if (end.word && !request.answered) {
--- a/src/main/java/calicostream/flight/front/Desk.java
+++ b/src/main/java/calicostream/flight/front/Desk.java
@@ -168,6 +168,18 @@
         return replies.size();
     }
 
+    // ---- Whose a request is ----------------------------------------------------------------------------
+    @Override
+    public String login(long tag) {
+        return replies.get(tag) instanceof Reply.To<?> reply && !reply.to.owner.isEmpty() ? reply.to.owner : null;
+    }
+
+    @Override
+    public String catalog(long tag) {
+        return replies.get(tag) instanceof Reply.To<?> reply && reply.to.session != null
+                ? reply.to.session.text(Sessions.CATALOG) : null;
+    }
+
     // ---- Answers from the core -------------------------------------------------------------------------
     private void answer(long tag, Consumer<Reply> with) {
         Reply reply = replies.remove(tag);
--- a/src/main/java/calicostream/net/Connection.java
+++ b/src/main/java/calicostream/net/Connection.java
@@ -102,6 +102,24 @@
         return out.size();
     }
 
+    /** Who is at the other end; null once it is closed. */
+    public InetSocketAddress remote() {
+        try {
+            return (InetSocketAddress) channel.getRemoteAddress();
+        } catch (IOException closed) {
+            return null;
+        }
+    }
+
+    /** The address of this end; null once it is closed. */
+    public InetSocketAddress local() {
+        try {
+            return (InetSocketAddress) channel.getLocalAddress();
+        } catch (IOException closed) {
+            return null;
+        }
+    }
+
     public boolean isConnected() {
         return !connecting && !closed;
     }
--- a/src/main/java/calicostream/platform/JsonRpcFront.java
+++ b/src/main/java/calicostream/platform/JsonRpcFront.java
@@ -11,6 +11,7 @@
 import calicostream.net.Ring;
 import calicostream.sql.Statement;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
@@ -174,6 +175,19 @@
                 why == Failure.DEADLINE ? "not answered in time" : "failed; it may have run"));
     }
 
+    @Override
+    public InetSocketAddress listening(long tag) {
+        Pending p = pending.get(tag);
+        return p == null ? null : p.client.connection.local();
+    }
+
+    @Override
+    public InetAddress client(long tag) {
+        Pending p = pending.get(tag);
+        InetSocketAddress remote = p == null ? null : p.client.connection.remote();
+        return remote == null ? null : remote.getAddress();
+    }
+
     private interface Wording {
         byte[] of(Pending pending);
     }
--- a/src/test/java/calicostream/core/GatewayTest.java
+++ b/src/test/java/calicostream/core/GatewayTest.java
@@ -9,11 +9,14 @@
 import calicostream.QueryRouter.Engine;
 import calicostream.QueryRouter.EngineState;
 import calicostream.QueryRouter.Outcome;
+import calicostream.QueryRouter.Report;
 import calicostream.QueryRouter.RosterKind;
 import calicostream.SettingsParser;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -60,6 +63,24 @@
             told.add("stop " + attempt.number);
         }
 
+        @Override
+        public boolean admits(Gateway.Request request) {
+            if (keeps) {
+                kept.add(request);
+            }
+            return !keeps;
+        }
+
+        @Override
+        public boolean mayUse(Gateway.Request request, long engine) {
+            return !full.contains(engine);
+        }
+
+        @Override
+        public void over(Gateway.Attempt attempt, Outcome outcome, Report report) {
+            overs.add(attempt.engine + " " + outcome);
+        }
+
         @Override
         public void priority(Gateway.Attempt attempt) { }
 
@@ -79,6 +100,11 @@
         }
     };
 
+    private final List<Gateway.Request> kept = new ArrayList<>();
+    private final List<String> overs = new ArrayList<>();
+    private final Set<Long> full = new HashSet<>();
+    private boolean keeps;
+
     private final Front front = new Front() {
         @Override
         public void served(long tag, Object result) {
@@ -126,6 +152,39 @@
         gateway.start(engines, List.of(engine(7, EngineState.READY), engine(8, EngineState.READY)));
     }
 
+    @Test
+    void nothingGoesWhereItsTenantHasNoRoom() {
+        full.addAll(Set.of(7L, 8L));
+        ask(0, 1, 3_000_000);
+        assertEquals(List.of(), sent, "held where none has room");
+        full.remove(8L);
+        pass(100_000);
+        assertEquals(List.of(8L), sent.stream().map(attempt -> attempt.engine).toList());
+        gateway.ended(sent.get(0), Outcome.OK, null, new byte[0]);
+        assertEquals(List.of("8 OK"), overs);
+    }
+
+    @Test
+    void whatIsKeptBeforeTheModuleIsAdmittedTurnedAwayOrOver() {
+        keeps = true;
+        long given = ask(0, 1, 500_000);
+        ask(0, 2, 500_000);
+        ask(0, 3, 500_000);
+        assertEquals(List.of(), sent);
+        gateway.admitted(kept.get(1));
+        assertEquals(1, sent.size());
+        gateway.turnAway(kept.get(2), 40_000);
+        gateway.abandon(given);
+        assertTrue(kept.get(0).isOver());
+        gateway.admitted(kept.get(0));
+        gateway.turnAway(kept.get(1), 40_000);
+        assertEquals(1, sent.size());
+        assertEquals(List.of("refused 3"), told);
+        ask(0, 4, 500_000);
+        pass(600_000);
+        assertTrue(told.contains("refused 4"), "never taken up: trying again is harmless, " + told);
+    }
+
     @Test
     void lateAndSecondEndsAreIgnored() {
         ask(0, 1, 4_000_000);
