Flight uploads: rows that come as an engine refuses go to the next, not nowhere

A bulk ingest that its engine refused could end as UNKNOWN at the client. Cause: the call asked whether rows had gone out, found none and said the engine was full; before the next attempt took over, the client's first rows came, went to the ended call, were dropped there and counted as gone, so no other engine could have them. The call now leaves the upload in the same step in which it asks: later rows wait for the next engine.

--- a/src/main/java/calicostream/flight/engine/IngestCall.java
+++ b/src/main/java/calicostream/flight/engine/IngestCall.java
@@ -102,7 +102,7 @@
     }
 
     private void closed(Status status) {
-        boolean stored = work.upload().isDrawn();
+        boolean stored = work.upload().leave(this); // Asked once: rows on their way here must not be lost with this call.
         if (status.isOk()) {
             try {
                 finish(told == null ? Outcome.ERROR : Outcome.OK, told == null ? null : new Answers.Counted(
--- a/src/main/java/calicostream/flight/wire/Upload.java
+++ b/src/main/java/calicostream/flight/wire/Upload.java
@@ -47,6 +47,18 @@
         return true;
     }
 
+    /**
+     * The receiver's engine has ended; whether rows may have gone to it. If not, none goes there any more: a frame that comes
+     * now waits for the next receiver.
+     */
+    public synchronized boolean leave(Receiver who) {
+        if (who == receiver) {
+            receiver = null;
+            wanted = false;
+        }
+        return drawn;
+    }
+
     /** Whether rows may have gone to an engine. */
     public synchronized boolean isDrawn() {
         return drawn;
