Cluster: tests of members in processes and threads; a member that is left behind says so

Removed voters are not always told: such a copy hears of no leader while its session does, so its state is behind. A planned stop opens no second session.

--- a/src/main/java/calicostream/cluster/process/Member.java
+++ b/src/main/java/calicostream/cluster/process/Member.java
@@ -16,6 +16,7 @@
 import calicostream.cluster.tcp.TcpLinks;
 import calicostream.core.Clock;
 import calicostream.core.Deadlines;
+import calicostream.durable.Amnesia;
 import calicostream.durable.DurableException;
 import calicostream.durable.DurableLog;
 import calicostream.net.Loop;
@@ -66,6 +67,7 @@
     private final Map<Integer, Long> heardAt = new HashMap<>();
     private final long tickNanos;
     private final Thread thread;
+    private int heardLeader; // whose answer came last that only a leader gives; 0 if nobody's
     private boolean admitted;
     private String failure = "";
     private long sessionSeen;
@@ -73,6 +75,7 @@
     private long signsAt;
     private WishRun wish;
     private PlannedStop stop;
+    private boolean closed; // the session, for good: it would open another one
     private volatile Signs signs;
 
     private Member(ClusterConfig config, List<Layer> layers, Disks disks) throws IOException {
@@ -110,7 +113,7 @@
                 log.close();
             }
         }
-        admitted = log.recovered().own().standing() != calicostream.durable.Amnesia.Standing.FRESH;
+        admitted = log.recovered().own().standing() != Amnesia.Standing.FRESH;
         known = new KnownVoters(config.voters().stream().map(ClusterConfig.Member::number)
                 .filter(each -> start.runsVoter() || each != self.member()).toList());
         session = new MemberSession(new MemberSession.Settings(self.member(), (int) config.session().ttl().toMillis(),
@@ -216,12 +219,15 @@
         if (frame instanceof Frame.Reply reply) {
             if (reply.outcome().accepted() && reply.ageNanos() == 0) {
                 quorum.heard(now);
+                heardLeader = from;
             } else if (reply.outcome().kind() == Outcome.Kind.FAILED
                     && reply.outcome().error() instanceof ClusterException.NotLeader other && known.named(other.leader())) {
                 session.voters(known.numbers());
             }
             session.received(from, reply, now);
-            flush(now);
+            if (!closed) {
+                flush(now);
+            }
         }
         if (voter != null) {
             voter.received(from, bytes);
@@ -244,8 +250,10 @@
                 guarded(layer, each -> each.news(news.index(), news.event()));
             }
         }
-        layers.forEach(layer -> guarded(layer, Layer::tick));
-        flush(now);
+        if (!closed) {
+            layers.forEach(layer -> guarded(layer, Layer::tick));
+            flush(now);
+        }
         if (voter != null) {
             voter.ageNanos().ifPresent(age -> quorum.heard(now - age));
             granted(now);
@@ -312,6 +320,7 @@
             case CLOSE_SESSION -> {
                 session.close();
                 flush(now);
+                closed = true;
             }
             case HAND_OVER -> voters(voter.voters()).stream().filter(each -> each.member() == stop.to()).findFirst()
                     .ifPresent(voter::handOver);
@@ -334,10 +343,10 @@
 
     /** The voter stopped by itself; the session goes on by the others. */
     private void failed(Throwable why) {
-        boolean known = why instanceof DurableException || why instanceof ClusterException;
-        failure = known ? why.getMessage() : new ClusterException.VoterStopped(self.member(), why.toString()).getMessage();
+        boolean named = why instanceof DurableException || why instanceof ClusterException;
+        failure = named ? why.getMessage() : new ClusterException.VoterStopped(self.member(), why.toString()).getMessage();
         signsAt = reactor.nanos();
-        if (!known) {
+        if (!named) {
             LOG.error("{}: its voter stopped", self, why);
         }
     }
@@ -346,17 +355,14 @@
         var disk = log.status();
         List<Voter> voters = voter == null ? List.of() : voters(voter.voters());
         List<Voter> learners = voter == null ? List.of() : learners();
-        Signs.State at = stop != null ? Signs.State.STOPPING : !failure.isEmpty() ? Signs.State.FAILED
-                : voter == null ? Signs.State.BARRED : voter.isStopped() ? Signs.State.REMOVED
-                : voters.contains(self) ? Signs.State.VOTER : learners.contains(self) ? Signs.State.LEARNER : Signs.State.SPARE;
-        boolean copy = at == Signs.State.VOTER || at == Signs.State.LEARNER;
-        long ttl = config.session().ttl().toNanos();
-        long doubt = config.raft().heartbeat().toNanos() * config.raft().missed() + config.raft().election().toNanos();
-        long limit = copy ? doubt : Math.max(doubt, ttl / 4 + 2 * config.session().retry().toNanos());
+        Standing standing = Standing.of(stop != null, failure, start, voter != null && voter.isStopped(), self, voters, learners,
+                voter == null ? 0 : voter.leader(), session.isAlive(now), voter == null ? 0 : voter.ageNanos().orElse(0L),
+                Standing.silenceNanos(config));
+        long limit = standing.follows() ? Standing.doubtNanos(config) : Standing.silenceNanos(config);
+        int leader = standing.follows() ? voter.leader() : session.isAlive(now) ? heardLeader : 0;
         Map<String, String> figures = new TreeMap<>();
         layers.forEach(layer -> guarded(layer, each -> figures.put(each.name(), each.figures())));
-        return new Signs(at, at == Signs.State.FAILED ? failure : at == Signs.State.BARRED ? start.why() : "", self,
-                voter == null ? 0 : voter.leader(), voter != null && voter.leads(), voter == null ? 0 : voter.term(), state.era(),
+        return new Signs(standing.state(), standing.why(), self, leader, voter != null && voter.leads(), voter == null ? 0 : voter.term(), state.era(),
                 state.applied(), voters, learners, quorum.missingMillis(now, limit),
                 voter == null ? -1 : voter.ageNanos().map(age -> age / MILLI).orElse(-1L), voter == null ? 0 : voter.proposed(),
                 session.waiting(), session.session(), session.isAlive(now),
--- a/src/main/java/calicostream/cluster/process/Signs.java
+++ b/src/main/java/calicostream/cluster/process/Signs.java
@@ -34,6 +34,8 @@
         /** Follows, and does not vote yet. */
         LEARNER,
         VOTER,
+        /** Its copy knows it as a voter or learner and hears of no leader, while its session does: removed, or cut off. */
+        BEHIND,
         /** Its folder forgot, or may have: it has its session, and its next generation may be added. */
         BARRED,
         /** The group does without it: it has its session, and its next generation may be added. */
--- a/src/main/java/calicostream/cluster/process/Telling.java
+++ b/src/main/java/calicostream/cluster/process/Telling.java
@@ -17,18 +17,19 @@
         List<Line> out = new ArrayList<>();
         if (before == null || before.state() != now.state()) {
             boolean bad = switch (now.state()) {
-                case BARRED, REMOVED, FAILED, DOWN -> true;
+                case BARRED, BEHIND, REMOVED, FAILED -> true;
+                case DOWN -> !now.why().isEmpty();
                 case SPARE, LEARNER, VOTER, STOPPING -> false;
             };
             out.add(new Line(bad, now.self() + " is " + now.state().name().toLowerCase(Locale.ROOT)
                     + (now.why().isEmpty() ? "" : ": " + now.why())));
         }
-        if (before == null) {
+        if (before == null || now.state() == Signs.State.DOWN) {
             return out;
         }
-        if (before.leader() != now.leader() || before.era() != now.era() && now.leader() != 0) {
+        if (before.leader() != now.leader() || before.term() != now.term() && now.leader() != 0) {
             out.add(new Line(false, now.leader() == 0 ? "no leader is known, term " + now.term()
-                    : "member " + now.leader() + " leads, term " + now.term() + ", era " + now.era()));
+                    : "member " + now.leader() + " leads, term " + now.term()));
         }
         if (before.noQuorumMillis() == 0 && now.noQuorumMillis() > 0) {
             out.add(new Line(true, "no quorum was heard for " + now.noQuorumMillis() + " ms: changes wait, the front end serves on"));
@@ -36,7 +37,7 @@
             out.add(new Line(false, "a quorum is heard again"));
         }
         if (before.session() != now.session()) {
-            boolean lost = now.session() == 0 && now.state() != Signs.State.STOPPING && now.state() != Signs.State.DOWN;
+            boolean lost = now.session() == 0 && now.state() != Signs.State.STOPPING;
             out.add(new Line(lost, now.session() == 0 ? "session " + before.session() + " is over" : "session " + now.session()
                     + " is open"));
         }
--- a/src/main/java/calicostream/cluster/process/Wish.java
+++ b/src/main/java/calicostream/cluster/process/Wish.java
@@ -41,6 +41,9 @@
         List<Voter> wanted = new ArrayList<>(signs.voters());
         Voter one = voter(said.group(1) == null ? said.group(3) : said.group(1));
         Voter more = said.group(4) != null ? voter(said.group(4)) : "add".equals(said.group(2)) ? one : null;
+        if (said.group(4) != null && one.equals(more)) {
+            throw new ClusterException.BadChange(words, "a voter is replaced by another one");
+        }
         if (one != more && !wanted.remove(one)) {
             throw new ClusterException.BadChange(words, one + " is no voter; voters are " + signs.voters());
         }
--- a/src/test/java/calicostream/cluster/process/MemberProcess.java
+++ b/src/test/java/calicostream/cluster/process/MemberProcess.java
@@ -23,8 +23,8 @@
 final class MemberProcess implements AutoCloseable {
     static final long PATIENCE_S = 60;
     /** Heartbeats that a machine with two busy cores keeps up with, and a session that outlasts a change of leader. */
-    private static final String PACE = "[raft]\nheartbeat = \"50ms\"\nmissed = 8\nelection = \"400ms\"\nsnapshot_every = 200\n"
-            + "[session]\nttl = \"3s\"\nretry = \"200ms\"\n";
+    private static final String PACE = "[raft]\nheartbeat = \"50ms\"\nmissed = 8\nelection = \"300ms\"\nsnapshot_every = 200\n"
+            + "[session]\nttl = \"1500ms\"\nretry = \"200ms\"\n";
     final Process process;
     private final StringBuffer lines = new StringBuffer();
     private final CompletableFuture<Integer> admin = new CompletableFuture<>();
@@ -32,14 +32,14 @@
     private final Thread reader;
 
     /** @param options of the virtual machine */
-    MemberProcess(Path folder, int changelogPort, String cluster, String... options) throws IOException {
+    MemberProcess(Path folder, int changelogPort, List<String> engines, String cluster, String... options) throws IOException {
         Files.createDirectories(folder);
         List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx96m", "-Dcalicostream.deploy=" + folder));
         command.addAll(List.of(options));
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), "calicostream.Main", "serve"));
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
-        builder.environment().put("NODE_CONFIG", Program.configure(folder, 0, changelogPort, List.of(), 1024).toString());
+        builder.environment().put("NODE_CONFIG", Program.configure(folder, 0, changelogPort, engines, 1024).toString());
         builder.environment().put("TMPDIR", folder.toString());
         builder.environment().put("NODE_CLUSTER", Files.writeString(folder.resolve("cluster.toml"), cluster).toString());
         process = builder.start();
