Tasks under leases: started, stepped, stopped, handed over; told members in a process

A Task runs while its lease is held here (Tasks); the lease layer shows tasks and leases to operators and logs what came and went. Acts send their own commands, also those of another machine with the token. The leader's news go out of a real process. What follows an answer is sent at once; who waits behind others polls less often, or a hundred processes would fill the log.

--- a/src/main/java/calicostream/cluster/process/Layer.java
+++ b/src/main/java/calicostream/cluster/process/Layer.java
@@ -37,7 +37,10 @@
     /** Called some ten times in {@code session.retry} and as often as there may be news; what it gives to the session goes out. */
     default void tick() { }
 
-    /** The copy at hand applied something; only at voters and learners, and not what they find at a restart. */
+    /**
+     * The copy at hand applied something, or the leader told of what concerns this member; the first not for what a restart finds. Perhaps
+     * late, lost, or told twice: a reason to ask or to hurry, never an order.
+     */
     default void news(long index, Effects.Event event) { }
 
     /** The process ends as planned: gives back what it holds, by the session, which is closed once nothing waits in it. */
--- a/src/main/java/calicostream/cluster/process/Member.java
+++ b/src/main/java/calicostream/cluster/process/Member.java
@@ -5,6 +5,7 @@
 import calicostream.cluster.Frame;
 import calicostream.cluster.Machine;
 import calicostream.cluster.MemberSession;
+import calicostream.cluster.Newsroom;
 import calicostream.cluster.Outcome;
 import calicostream.cluster.Replicated;
 import calicostream.cluster.Timekeeper;
@@ -59,6 +60,7 @@
     private final DurableLog log;
     private final TcpLinks links;
     private final Replicated state;
+    private final Newsroom newsroom;
     private final Start start;
     private final VoterNode voter; // null where the start is barred
     private final MemberSession session;
@@ -102,6 +104,7 @@
                 layer.timekeeper().ifPresent(timekeeper -> timekeepers.put(name, timekeeper));
             });
             state = new Replicated(machines);
+            newsroom = new Newsroom(state, self.member());
             List<Voter> first = config.voters().stream().map(each -> new Voter(each.number(), 0)).toList();
             ClusterConfig.Raft raft = config.raft();
             voter = !start.runsVoter() ? null : new VoterNode(new VoterNode.Settings(self, first, (int) raft.heartbeat().toMillis(),
@@ -228,12 +231,24 @@
             if (!closed) {
                 flush(now);
             }
+        } else if (frame instanceof Frame.News news) {
+            heard(new Replicated.News(news.machine(), news.index(), news.event()));
+            if (!closed) {
+                flush(now);
+            }
         }
         if (voter != null) {
             voter.received(from, bytes);
         }
     }
 
+    private void heard(Replicated.News news) {
+        Layer layer = layersByName.get(news.machine());
+        if (layer != null) {
+            guarded(layer, each -> each.news(news.index(), news.event()));
+        }
+    }
+
     private void flush(long now) {
         session.tick(now).forEach(send -> links.send(send.voter(), send.frame()));
     }
@@ -244,12 +259,9 @@
             return;
         }
         reactor.schedule(this::tick, stop == null ? tickNanos : 5 * MILLI);
-        for (Replicated.News news : state.takeNews()) {
-            Layer layer = layersByName.get(news.machine());
-            if (layer != null) {
-                guarded(layer, each -> each.news(news.index(), news.event()));
-            }
-        }
+        List<Replicated.News> taken = state.takeNews();
+        taken.forEach(this::heard);
+        newsroom.tell(taken, voter != null && voter.leads(), now).forEach(each -> links.send(each.member(), each.frame()));
         if (!closed) {
             layers.forEach(layer -> guarded(layer, Layer::tick));
             flush(now);
--- a/src/main/java/calicostream/daemon/ClusterPart.java
+++ b/src/main/java/calicostream/daemon/ClusterPart.java
@@ -7,6 +7,8 @@
 import calicostream.cluster.process.Layer;
 import calicostream.cluster.process.Member;
 import calicostream.core.Service;
+import calicostream.lease.process.LeaseLayer;
+import calicostream.lease.process.TaskSource;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -46,7 +48,9 @@
     /** Each layer takes its settings out of the file; all members must have the same layers. */
     private static List<Layer> layers(ClusterConfig config, SettingsFile file) {
         List<Layer> out = new ArrayList<>();
-        out.add(new LeaseLayer());
+        LeaseLayer leases = new LeaseLayer(config.leaseTtl());
+        TaskSource.chosen().forEach(leases::add);
+        out.add(leases);
         return out;
     }
 
--- a/src/main/java/calicostream/lease/Acts.java
+++ b/src/main/java/calicostream/lease/Acts.java
@@ -2,6 +2,9 @@
 package calicostream.lease;
 
 import calicostream.lease.Fenced.Outcome;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.LongFunction;
 import java.util.function.LongSupplier;
 
 /**
@@ -10,12 +13,22 @@
  * holds". Same thread as its {@link Holder}; the clock is monotonic, in nanoseconds, and read anew at each act.
  */
 public final class Acts {
+    /** Sends a command to a machine of the log and hears how it went. */
+    interface Sender {
+        void send(String machine, byte[] body, Consumer<calicostream.cluster.Outcome> done);
+    }
+
     private final Holder holder;
     private final LongSupplier clock;
+    private final String machine;
+    private final Sender sender;
 
-    public Acts(Holder holder, LongSupplier clock) {
+    /** @param machine the leases' name in the log */
+    Acts(Holder holder, LongSupplier clock, String machine, Sender sender) {
         this.holder = holder;
         this.clock = clock;
+        this.machine = machine;
+        this.sender = sender;
     }
 
     /** The command to send for it, or why not. Whether it was done, its answer tells. */
@@ -23,6 +36,29 @@
         return isHeld() ? Outcome.done(new LeaseCommand.Act(holder.name(), holder.token(), payload)) : Outcome.refused(notHeld());
     }
 
+    /** Does it in the log, where all hear of it; empty if it was sent, else why not. {@code done} hears how it went. */
+    public Optional<LeaseRejection> tell(byte[] payload, Consumer<calicostream.cluster.Outcome> done) {
+        Outcome<LeaseCommand.Act> act = inLog(payload);
+        if (act.isDone()) {
+            sender.send(machine, act.result().encode(), done);
+        }
+        return Optional.ofNullable(act.refused());
+    }
+
+    /**
+     * Sends a command of another machine of the same log, which carries the token and is refused there once a later one was seen; empty
+     * if it was sent, else why not.
+     *
+     * @param command made with the token, which is good for this command alone
+     */
+    public Optional<LeaseRejection> command(String of, LongFunction<byte[]> command, Consumer<calicostream.cluster.Outcome> done) {
+        if (!isHeld()) {
+            return Optional.of(notHeld());
+        }
+        sender.send(of, command.apply(holder.token()), done);
+        return Optional.empty();
+    }
+
     /** Does it at the resource, or says why not. */
     public <A, R> Outcome<R> at(Fenced<A, R> resource, A act) {
         return isHeld() ? resource.act(holder.name(), holder.token(), act) : Outcome.refused(notHeld());
--- a/src/main/java/calicostream/lease/Holder.java
+++ b/src/main/java/calicostream/lease/Holder.java
@@ -33,6 +33,7 @@
             long to) { }
 
     private static final int RENEWALS = 3; // in a time to live: two may be lost
+    private static final int PLACES = 8; // times to live between two polls at most
     private static final int PAUSES = 4; // in a time to live, after a refusal
     private final String name;
     private final long ttl;
@@ -164,8 +165,8 @@
         }
         if (answer instanceof LeaseAnswer.Holds held) {
             holds(now, held.token());
-        } else if (answer instanceof LeaseAnswer.Waits && phase == Phase.ASKING) {
-            waits(now);
+        } else if (answer instanceof LeaseAnswer.Waits waits && phase == Phase.ASKING) {
+            waits(now, waits.place());
         } else if (phase != Phase.HELD) {
             over(now, 0);
         }
@@ -199,8 +200,8 @@
         }
         if (why instanceof LeaseRejection.AlreadyHolds held && phase != Phase.ENDING) {
             confirm(held.token());
-        } else if (why instanceof LeaseRejection.AlreadyWaits && phase == Phase.ASKING) {
-            waits(now);
+        } else if (why instanceof LeaseRejection.AlreadyWaits waits && phase == Phase.ASKING) {
+            waits(now, waits.place());
         } else if (why instanceof LeaseRejection.NoSuccessor && phase == Phase.ENDING) {
             to = -1; // It releases instead.
         } else {
@@ -234,10 +235,13 @@
         confirm(of);
     }
 
-    /** News may be lost, and a grant that was not taken up is gone: it asks again, and hears its place or what it missed. */
-    private void waits(long now) {
+    /**
+     * News may be lost, and a grant that was not taken up is gone: it asks again, and hears its place or what it missed. Whoever has others
+     * before it asks less often, or a fleet that waits would fill the log.
+     */
+    private void waits(long now, long place) {
         phase = Phase.WAITING;
-        renewAt = now + ttl;
+        renewAt = now + ttl * Math.max(1, Math.min(place, PLACES));
     }
 
     private void confirm(long granted) {
--- a/src/main/java/calicostream/lease/LeaseClient.java
+++ b/src/main/java/calicostream/lease/LeaseClient.java
@@ -37,7 +37,7 @@
 
     /** What a task may do under that lease. */
     public Acts acts(Holder holder) {
-        return new Acts(holder, clock);
+        return new Acts(holder, clock, machine, member::run);
     }
 
     /** Sends what is due. */
@@ -53,11 +53,13 @@
             holders.forEach(holder -> holder.mayAct(now));
             return;
         }
-        for (Holder holder : holders) {
-            Holder.Ask ask = holder.next(now);
-            if (ask != null) {
-                member.run(machine, ask.command().encode(), outcome -> ended(holder, ask, outcome));
-            }
+        holders.forEach(holder -> send(holder, now));
+    }
+
+    private void send(Holder holder, long now) {
+        Holder.Ask ask = holder.next(now);
+        if (ask != null) {
+            member.run(machine, ask.command().encode(), outcome -> ended(holder, ask, outcome));
         }
     }
 
@@ -68,6 +70,9 @@
             case REFUSED -> holder.refused(now, ask.number(), LeaseRejection.decode(outcome.code(), outcome.answer()));
             case FAILED -> holder.unsure(now, ask.number());
         }
+        if (outcome.kind() != Outcome.Kind.FAILED) {
+            send(holder, now); // What follows at once must not wait for a tick: a planned stop may not come to another one.
+        }
     }
 
     /** Something happened to a lease, as a copy of the machine told it or a query found it. */
@@ -76,6 +81,7 @@
             for (Holder holder : holders) {
                 if (holder.name().equals(granted.name())) {
                     holder.granted(clock.getAsLong(), granted.token());
+                    send(holder, clock.getAsLong());
                 }
             }
         }
--- /dev/null
+++ b/src/main/java/calicostream/lease/process/LeaseLayer.java
@@ -0,0 +1,108 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.lease.process;
+
+import calicostream.cluster.Effects;
+import calicostream.cluster.MemberSession;
+import calicostream.cluster.Timekeeper;
+import calicostream.cluster.process.Layer;
+import calicostream.lease.LeaderWatch;
+import calicostream.lease.LeaseMachine;
+import calicostream.lease.Task;
+import calicostream.lease.Tasks;
+import com.eclipsesource.json.Json;
+import com.eclipsesource.json.JsonObject;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Leases as a layer of a member, with the tasks that this process does under them. On the member's thread, but for {@link #add}. */
+public final class LeaseLayer implements Layer {
+    private static final Logger LOG = LoggerFactory.getLogger(LeaseLayer.class);
+    private static final long MILLI = 1_000_000L;
+    private final LeaseMachine machine = new LeaseMachine();
+    private final LeaderWatch watch = new LeaderWatch(machine);
+    private final List<Task> added = new ArrayList<>();
+    private final Duration ttl;
+    private Tasks tasks;
+
+    /** @param ttl of all leases */
+    public LeaseLayer(Duration ttl) {
+        this.ttl = ttl;
+    }
+
+    /** Before the member starts. */
+    public void add(Task task) {
+        added.add(task);
+    }
+
+    /** For a machine beside this one in the same log, which asks whether a token is the holder's. */
+    @Override
+    public LeaseMachine machine() {
+        return machine;
+    }
+
+    @Override
+    public String name() {
+        return "lease";
+    }
+
+    @Override
+    public Optional<Timekeeper> timekeeper() {
+        return Optional.of(watch);
+    }
+
+    @Override
+    public void joins(MemberSession session, LongSupplier clock) {
+        tasks = new Tasks(session, name(), clock, LeaseLayer::tell);
+        added.forEach(task -> tasks.add(task, ttl.toNanos()));
+    }
+
+    private static void tell(Tasks.Event event) {
+        if (event.failure() != null) {
+            LOG.warn("{} lease={} token={}", event.code(), event.lease(), event.token(), event.failure());
+        } else {
+            LOG.info("{} lease={} token={}", event.code(), event.lease(), event.token());
+        }
+    }
+
+    @Override
+    public void tick() {
+        tasks.tick();
+    }
+
+    @Override
+    public void news(long index, Effects.Event event) {
+        tasks.news(event);
+    }
+
+    @Override
+    public void stopping() {
+        tasks.stop();
+        tasks.tick();
+    }
+
+    /** This process's tasks, and all leases as the copy at hand has them; a member without a copy has none of these. */
+    @Override
+    public String figures() {
+        if (tasks == null) {
+            return "{}";
+        }
+        JsonObject own = Json.object();
+        for (Tasks.Figures each : tasks.figures()) {
+            own.add(each.task().lease(), Json.object().add("state", each.phase().name().toLowerCase(Locale.ROOT)).add("token", each.token())
+                    .add("left_ms", each.leftNanos() / MILLI).add("held", each.held()).add("lost", each.lost()).add("failed", each.failed())
+                    .add("task", Json.parse(each.task().figures())));
+        }
+        JsonObject all = Json.object();
+        for (LeaseMachine.View each : machine.held()) {
+            all.add(each.name(), Json.object().add("session", each.session()).add("token", each.token()).add("renewals", each.renewals())
+                    .add("waiting", each.waiting()).add("session_over", each.ended()));
+        }
+        return Json.object().add("tasks", own).add("leases", all).add("last_token", machine.lastToken()).toString();
+    }
+}
--- a/src/test/java/calicostream/lease/HolderTest.java
+++ b/src/test/java/calicostream/lease/HolderTest.java
@@ -21,7 +21,7 @@
     private static final long WITHIN = Drift.BOUND.within(TTL);
     private final Holder holder = new Holder("task", TTL, 0);
     private long now;
-    private final Acts acts = new Acts(holder, () -> now);
+    private final Acts acts = new Acts(holder, () -> now, "lease", (machine, body, done) -> { });
 
     private Ask asks(Class<? extends LeaseCommand> kind) {
         Ask ask = holder.next(now);
