Rig: five processes of the program under nine faults of links, processes and folders

The cluster's members run in real processes now; what they do under faults had been seen in virtual time alone.

--- a/src/test/java/calicostream/rig/Judge.java
+++ b/src/test/java/calicostream/rig/Judge.java
@@ -46,15 +46,19 @@
         return all.ran().stream().map(Ran::id).filter(id -> !seen.add(id)).toList();
     }
 
-    /** Share of what was asked that was served, of these front ends. */
-    double served(Set<Integer> fronts) {
-        long asked = all.asked().stream().filter(each -> fronts.contains(each.front())).count();
-        long served = all.answered().stream().filter(each -> fronts.contains(each.front()) && each.answer() == Answer.SERVED).count();
-        return asked == 0 ? Double.NaN : (double) served / asked;
+    /** Of what these front ends were asked in the window: how many have this answer; null for those that have no end yet. */
+    long ended(Set<Integer> fronts, long from, long to, Answer how) {
+        Map<String, Answer> ends = new HashMap<>();
+        all.answered().forEach(each -> ends.put(each.id(), each.answer()));
+        all.dropped().forEach(each -> ends.put(each.id(), Answer.FAILED));
+        return all.asked().stream().filter(each -> fronts.contains(each.front()) && each.at() >= from && each.at() < to)
+                .filter(each -> ends.get(each.id()) == how).count();
     }
 
-    long served() {
-        return all.answered().stream().filter(each -> each.answer() == Answer.SERVED).count();
+    /** Share of what was asked in the window that was served, of these front ends; NaN if nothing was asked. */
+    double served(Set<Integer> fronts, long from, long to) {
+        long asked = all.asked().stream().filter(each -> fronts.contains(each.front()) && each.at() >= from && each.at() < to).count();
+        return (double) ended(fronts, from, to, Answer.SERVED) / asked;
     }
 
     /** Nanoseconds from asked to answered, rising. */
--- a/src/test/java/calicostream/rig/JudgeTest.java
+++ b/src/test/java/calicostream/rig/JudgeTest.java
@@ -102,8 +102,9 @@
         history.add(new Asked("1", 1, 0));
         history.add(new Asked("2", 2, 0));
         history.add(new Answered("1", 1, 30, Answer.SERVED));
-        assertEquals(1.0, judge().served(Set.of(1)));
-        assertEquals(0.5, judge().served(Set.of(1, 2)));
+        assertEquals(1.0, judge().served(Set.of(1), 0, 100));
+        assertEquals(0.5, judge().served(Set.of(1, 2), 0, 100));
+        assertEquals(1, judge().ended(Set.of(1, 2), 0, 100, null));
         assertEquals(70, judge().longestSilence(1, 0, 100));
         assertEquals(100, judge().longestSilence(2, 0, 100));
     }
--- /dev/null
+++ b/src/test/java/calicostream/rig/MembersTest.java
@@ -0,0 +1,285 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.eclipsesource.json.JsonObject;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestInstance;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Five processes of the program, three of them voters, and what is done to their links, processes and folders. They are started once:
+ * each test begins with all of them in one group and ends with them so. Clients ask all the time; the judge looks at the end of each.
+ */
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+class MembersTest {
+    private static final List<Integer> VOTERS = List.of(1, 2, 3);
+    private static final List<Integer> ALL = List.of(1, 2, 3, 4, 5);
+    private static final long ASK_EVERY_MS = 20;
+    private static final int STOPPED = 143; // the exit code after SIGTERM
+    private static final long LONGER_THAN_ALL_MS = 2_500; // than session, lease, election and missed heartbeats
+    private static final long USUAL_NANOS = 1_000_000_000L; // of an answer, on a machine with much else to do
+    private final History history = new History();
+    private Fleet fleet;
+    private long begun;
+
+    @BeforeAll
+    void start(@TempDir Path folder) throws Exception {
+        fleet = new Fleet(folder, Fleet.Plan.of(5, 3), history, ASK_EVERY_MS);
+        fleet.startAll();
+    }
+
+    @BeforeEach
+    void begin() throws Exception {
+        fleet.restore();
+        fleet.awaitLeader(VOTERS);
+        for (int each : ALL) {
+            fleet.awaitSigns(each, "a session", signs -> signs.getBoolean("session_alive", false));
+        }
+        begun = System.nanoTime();
+    }
+
+    @AfterEach
+    void nothingWasDoubled() {
+        Judge judge = new Judge(history.copy());
+        assertEquals(List.of(), judge.answeredTwice());
+        assertEquals(List.of(), judge.ranTwice());
+    }
+
+    @AfterAll
+    void end() throws Exception {
+        try (Fleet ending = fleet) {
+            ending.load.settle();
+            assertEquals(List.of(), new Judge(history.copy()).lost());
+        }
+    }
+
+    private static List<Integer> others(List<Integer> all, int one) {
+        List<Integer> out = new ArrayList<>(all);
+        out.remove((Integer) one);
+        return out;
+    }
+
+    private static Set<Integer> others(int one) {
+        return Set.copyOf(others(ALL, one));
+    }
+
+    /** What these front ends were asked since the test began was served, as soon as ever. */
+    private void assertServedThroughout(Set<Integer> fronts) throws Exception {
+        long now = System.nanoTime();
+        Await.until(() -> new Judge(history.copy()).ended(fronts, begun, now, null) == 0, () -> "some were not answered");
+        Judge judge = new Judge(history.copy());
+        List<Long> waits = judge.waits(fronts, begun, now);
+        assertTrue(waits.size() > 10, waits.size() + " answers");
+        assertTrue(Judge.percentile(waits, 0.99) < USUAL_NANOS, "answers took " + Judge.percentile(waits, 0.99) / 1_000_000 + " ms");
+        for (int front : fronts) {
+            long silence = judge.longestSilence(front, begun, now);
+            assertTrue(silence < 2 * USUAL_NANOS, "front end " + front + " was silent for " + silence / 1_000_000 + " ms");
+        }
+        assertEquals(1.0, judge.served(fronts, begun, now), 0.0, "share served");
+    }
+
+    @Test
+    void leaderCutOffFromItsVotersServesItsClients() throws Exception {
+        int leader = fleet.awaitLeader(VOTERS);
+        fleet.isolate(LinkFault.CUT, List.of(leader));
+        int next = fleet.awaitLeader(others(VOTERS, leader));
+        assertNotEquals(leader, next);
+        fleet.awaitSigns(leader, "no quorum", signs -> signs.getInt("no_quorum_ms", 0) > 0 && !signs.getBoolean("session_alive", true));
+        Await.pass(LONGER_THAN_ALL_MS / 2);
+        assertServedThroughout(Set.copyOf(ALL));
+        fleet.heal();
+        fleet.awaitSigns(leader, "the group", signs -> signs.getInt("no_quorum_ms", 1) == 0 && signs.getBoolean("session_alive", false));
+    }
+
+    @Test
+    void leaderWhoseLinksTakeAllAndNeverPassItOnIsReplaced() throws Exception {
+        int leader = fleet.awaitLeader(VOTERS);
+        fleet.set(LinkFault.MUTE, List.of(leader), ALL);
+        assertNotEquals(leader, fleet.awaitLeader(others(VOTERS, leader)));
+        assertServedThroughout(Set.copyOf(ALL));
+    }
+
+    @Test
+    void stoppedLeaderGoesOnAsAFollower() throws Exception {
+        int leader = fleet.awaitLeader(VOTERS);
+        fleet.load.end(leader, false); // Its clients wait as long as it is stopped, with the cluster or without.
+        fleet.proc(leader).signal("STOP");
+        int next;
+        try {
+            next = fleet.awaitLeader(others(VOTERS, leader));
+            Await.pass(LONGER_THAN_ALL_MS);
+        } finally {
+            fleet.proc(leader).signal("CONT");
+        }
+        fleet.resume(leader);
+        fleet.awaitSigns(leader, "another leader", signs -> !signs.getBoolean("leads", true) && signs.getInt("leader", 0) == next
+                && signs.getBoolean("session_alive", false));
+        assertServedThroughout(others(leader));
+    }
+
+    @Test
+    void minorityServesOnAndAllVotersComeBack() throws Exception {
+        long applied = fleet.signs(1).getLong("applied", 0);
+        fleet.killAll(VOTERS);
+        for (int each : List.of(4, 5)) {
+            fleet.awaitSigns(each, "no quorum", signs -> signs.getInt("no_quorum_ms", 0) > 0 && !signs.getBoolean("session_alive", true));
+        }
+        Await.pass(LONGER_THAN_ALL_MS / 2);
+        fleet.launch(1);
+        fleet.awaitServing(1);
+        JsonObject alone = fleet.awaitSigns(1, "a vote of its own alone", signs -> signs.getString("state", "").equals("voter"));
+        assertTrue(!alone.getBoolean("leads", true), alone.toString());
+        assertServedThroughout(Set.of(4, 5));
+        fleet.launch(2);
+        fleet.launch(3);
+        fleet.awaitServing(2);
+        fleet.awaitServing(3);
+        fleet.awaitLeader(VOTERS);
+        fleet.awaitSigns(1, "all that was there", signs -> signs.getLong("applied", 0) > applied);
+    }
+
+    @Test
+    void secondProcessOnAFolderEndsAndTheFirstGoesOn() throws Exception {
+        Proc second = fleet.proc(2, 12);
+        assertNotEquals(0, second.awaitExit());
+        second.awaitLine("folder-in-use");
+        assertTrue(fleet.signs(2).getBoolean("session_alive", false));
+        assertServedThroughout(Set.copyOf(ALL));
+    }
+
+    @Test
+    void voterWithAnOlderFolderDoesNotVoteUntilItIsReplaced() throws Exception {
+        int leader = fleet.awaitLeader(VOTERS);
+        int voter = others(VOTERS, leader).get(0);
+        Path older = fleet.data(voter).resolveSibling("older");
+        fleet.proc(voter).signal("STOP");
+        copy(fleet.data(voter), older); // As it would be found after a crash.
+        fleet.proc(voter).signal("CONT");
+        long seen = fleet.signs(voter).getLong("applied", 0);
+        fleet.awaitSigns(voter, "more of the log", signs -> signs.getLong("applied", 0) > seen + 3);
+        fleet.kill(voter);
+        delete(fleet.data(voter));
+        copy(older, fleet.data(voter));
+        fleet.start(voter);
+        fleet.awaitSigns(voter, "that it forgot", signs -> signs.getString("state", "").equals("barred"));
+        readmit(voter);
+        assertServedThroughout(others(voter));
+    }
+
+    @Test
+    void diskThatForgetsWhatItSaidItKeptDoesNotVoteUntilItIsReplaced() throws Exception {
+        int leader = fleet.awaitLeader(VOTERS);
+        int voter = others(VOTERS, leader).get(1);
+        long seen = fleet.signs(voter).getLong("applied", 0);
+        fleet.disk(voter, RigDisks.Lie.FORGETS, 0);
+        fleet.awaitSigns(voter, "more of the log", signs -> signs.getLong("applied", 0) > seen + 3);
+        fleet.kill(voter);
+        fleet.disk(voter, RigDisks.Lie.HONEST, 0);
+        fleet.start(voter);
+        fleet.awaitSigns(voter, "that it forgot", signs -> signs.getString("state", "").equals("barred"));
+        readmit(voter);
+        assertServedThroughout(others(voter));
+    }
+
+    /** As the operators' page says for a member whose folder forgot. */
+    private void readmit(int voter) throws Exception {
+        JsonObject barred = fleet.signs(voter);
+        int before = barred.getInt("generation", 0);
+        assertEquals(STOPPED, fleet.stop(voter));
+        fleet.generation(voter, before + 1);
+        fleet.start(voter);
+        String old = voter + "." + before;
+        String next = voter + "." + (before + 1);
+        Await.until(() -> isDone(others(VOTERS, voter), old, next), () -> old + " was not replaced by " + next);
+        fleet.awaitSigns(voter, "to vote again", signs -> signs.getString("state", "").equals("voter"));
+    }
+
+    /** A wish ends with its leader, and what is left of it is said to the next one. */
+    private boolean isDone(List<Integer> voters, String old, String next) throws Exception {
+        int leader = fleet.awaitLeader(voters);
+        JsonObject signs = fleet.signs(leader);
+        String present = signs.get("voters").toString();
+        if (!present.contains(old) && present.contains(next)) {
+            return true;
+        }
+        if (!signs.getString("wish", "").contains("under way")) {
+            fleet.tell(leader, present.contains(next) ? "voters/" + old + "/remove" : "voters/" + old + "/replace/" + next);
+        }
+        return false;
+    }
+
+    @Test
+    void fullAndReadOnlyDisksAreNamedAndCostTheirVotersUntilARestart() throws Exception {
+        int leader = fleet.awaitLeader(VOTERS);
+        List<Integer> rest = others(VOTERS, leader);
+        fleet.disk(rest.get(0), RigDisks.Lie.FULL, 0);
+        fleet.disk(rest.get(1), RigDisks.Lie.READ_ONLY, 0);
+        for (int voter : rest) {
+            String code = voter == rest.get(0) ? "disk-full" : "disk-read-only";
+            fleet.awaitSigns(voter, code, signs -> signs.getString("state", "").equals("failed")
+                    && signs.get("disk").asObject().getString("trouble", "").contains(code));
+        }
+        fleet.awaitSigns(leader, "no quorum", signs -> signs.getInt("no_quorum_ms", 0) > 0);
+        assertServedThroughout(Set.copyOf(ALL));
+        for (int voter : rest) {
+            assertEquals(STOPPED, fleet.stop(voter));
+            fleet.disk(voter, RigDisks.Lie.HONEST, 0);
+            fleet.launch(voter);
+        }
+        for (int voter : rest) {
+            fleet.awaitServing(voter);
+            fleet.awaitSigns(voter, "to vote again", signs -> signs.getString("state", "").equals("voter")
+                    && signs.getInt("leader", 0) > 0);
+        }
+    }
+
+    @Test
+    void leaderOnASlowDiskLosesTheLeadAndServesOn() throws Exception {
+        int leader = fleet.awaitLeader(VOTERS);
+        fleet.disk(leader, RigDisks.Lie.SLOW, 1_500);
+        try {
+            assertNotEquals(leader, fleet.awaitLeader(others(VOTERS, leader)));
+            fleet.awaitSigns(leader, "that it is slow", signs -> signs.get("disk").asObject().getInt("slow_syncs", 0) > 0);
+        } finally {
+            fleet.disk(leader, RigDisks.Lie.HONEST, 0);
+        }
+        assertServedThroughout(Set.copyOf(ALL));
+        fleet.awaitSigns(leader, "another leader", signs -> signs.getInt("leader", 0) > 0 && signs.getBoolean("session_alive", false));
+    }
+
+    private static void copy(Path from, Path to) throws IOException {
+        try (Stream<Path> all = Files.walk(from)) {
+            all.forEach(each -> {
+                try {
+                    Files.copy(each, to.resolve(from.relativize(each).toString()));
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            });
+        }
+    }
+
+    private static void delete(Path folder) throws IOException {
+        try (Stream<Path> all = Files.walk(folder)) {
+            for (Path each : all.sorted((a, b) -> b.compareTo(a)).toList()) {
+                Files.delete(each);
+            }
+        }
+    }
+}
