Rig: a leased task in five processes, stopped between check and act, with its control

What acts is recorded at a resource in the rig's process. A holder that is stopped for three times its lease between its check and its act is refused by the token; the same run without the check of tokens is found to act twice, so that the judge is shown to find it. A holder cut off from the log stops before the next one begins even at a resource that checks nothing; killed and planned ends are followed.

--- a/src/test/java/calicostream/rig/Fleet.java
+++ b/src/test/java/calicostream/rig/Fleet.java
@@ -43,6 +43,7 @@
     final History history;
     final Load load;
     final Relays relays;
+    final ResourceStand resource;
     private final Plan plan;
     private final Path folder;
     private final List<EngineStand> engines = new ArrayList<>();
@@ -63,6 +64,7 @@
         }
         load = new Load(history, askEveryMs);
         relays = new Relays();
+        resource = new ResourceStand(history);
         InetAddress own = ownAddress();
         for (int i = 1; i <= plan.members(); i++) {
             addresses.add(free(own));
@@ -129,7 +131,8 @@
                 "-XX:+UseSerialGC", "-Xmx48m", "-XX:TieredStopAtLevel=1", "-XX:CICompilerCount=1", "-Xshare:auto",
                 "--add-opens=java.base/java.nio=ALL-UNNAMED", "-Dcalicostream.deploy=" + home));
         if (plan.clustered()) {
-            command.addAll(List.of("-Dcalicostream.cluster.disks=calicostream.rig.RigDisks", "-D" + RigDisks.PROPERTY + "=" + disk(place)));
+            command.addAll(List.of("-Dcalicostream.cluster.disks=calicostream.rig.RigDisks", "-D" + RigDisks.PROPERTY + "=" + disk(place),
+                    "-Dcalicostream.lease.tasks=calicostream.rig.RigTasks", "-D" + RigTasks.PROPERTY + "=" + resource.port() + " m" + place));
         }
         command.addAll(List.of(properties));
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), "calicostream.Main", "serve"));
@@ -341,6 +344,7 @@
         all.forEach(Proc::close);
         load.close();
         relays.close();
+        resource.close();
         list.close();
         for (EngineStand each : engines) {
             each.close();
--- /dev/null
+++ b/src/test/java/calicostream/rig/LeasesTest.java
@@ -0,0 +1,156 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import calicostream.rig.History.Act;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.List;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestInstance;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Five processes that take turns at one leased task. What acts is recorded at the resource, in this process, and judged without the
+ * program. They are started once; each test begins with all in one group and one of them acting, and with a record of its own.
+ */
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+class LeasesTest {
+    private static final List<Integer> VOTERS = List.of(1, 2, 3);
+    private static final long TTL_MS = 1_000;
+    private History acts;
+    private Fleet fleet;
+
+    @BeforeAll
+    void start(@TempDir Path folder) throws Exception {
+        fleet = new Fleet(folder, Fleet.Plan.of(5, 3), new History(), 20);
+        fleet.startAll();
+    }
+
+    @BeforeEach
+    void begin() throws Exception {
+        fleet.restore();
+        fleet.awaitLeader(VOTERS);
+        record(true);
+        awaitAct(System.nanoTime());
+    }
+
+    /** Each test's acts in a record of its own. */
+    private void record(boolean fenced) {
+        acts = new History();
+        fleet.resource.begin(acts, fenced);
+    }
+
+    @AfterEach
+    void goOn() {
+        fleet.resource.openGate();
+    }
+
+    @AfterAll
+    void end() throws Exception {
+        fleet.close();
+    }
+
+    private void awaitAct(long after) throws Exception {
+        Await.until(() -> fleet.resource.last() > after, () -> "nobody acts");
+    }
+
+    private Act lastDone() {
+        return acts.copy().acts().stream().filter(Act::done).max(Comparator.comparingLong(Act::at)).orElseThrow();
+    }
+
+    private static int number(String who) {
+        return Integer.parseInt(who.substring(1));
+    }
+
+    /** Waits for an act by somebody else. */
+    private Act awaitSuccessor(String of) throws Exception {
+        Await.until(() -> !lastDone().who().equals(of), () -> "nobody acts in the place of " + of);
+        return lastDone();
+    }
+
+    /** The holder has checked that it holds, is stopped for three times its lease, goes on, and acts. */
+    private void stopBetweenCheckAndAct() throws Exception {
+        fleet.resource.closeGate();
+        String holder = fleet.resource.awaitHeld();
+        Proc proc = fleet.proc(number(holder));
+        proc.signal("STOP");
+        try {
+            fleet.resource.openGate();
+            Await.pass(3 * TTL_MS);
+            awaitSuccessor(holder);
+        } finally {
+            proc.signal("CONT");
+        }
+        Await.until(() -> acts.copy().acts().stream().anyMatch(a -> a.who().equals(holder) && a.at() > lastOther(holder)),
+                () -> holder + " did not act after it was stopped");
+    }
+
+    private long lastOther(String holder) {
+        return acts.copy().acts().stream().filter(a -> !a.who().equals(holder)).mapToLong(Act::at).min().orElse(Long.MAX_VALUE);
+    }
+
+    @Test
+    void holderStoppedBetweenCheckAndActIsRefused() throws Exception {
+        stopBetweenCheckAndAct();
+        assertEquals(List.of(), new Judge(acts.copy()).doubleActs());
+        assertTrue(acts.copy().acts().stream().anyMatch(a -> !a.done()), "its late act must have come, and been refused");
+    }
+
+    /** The control: the same without the check of tokens. If this finds nothing, the test above proves nothing. */
+    @Test
+    void withoutTheFenceTheSameHolderActsTwice() throws Exception {
+        record(false);
+        awaitAct(System.nanoTime());
+        stopBetweenCheckAndAct();
+        assertFalse(new Judge(acts.copy()).doubleActs().isEmpty(), "the judge finds no double act where there is one");
+    }
+
+    /** Even a resource that checks nothing sees no double act of a process that runs: it stops by itself before the next one begins. */
+    @Test
+    void holderCutOffFromTheLogStopsBeforeAnotherBegins() throws Exception {
+        record(false);
+        awaitAct(System.nanoTime());
+        String holder = lastDone().who();
+        fleet.isolate(LinkFault.STALL, List.of(number(holder)));
+        Act next = awaitSuccessor(holder);
+        Await.pass(TTL_MS / 2);
+        fleet.heal();
+        awaitAct(System.nanoTime());
+        Judge judge = new Judge(acts.copy());
+        assertEquals(List.of(), judge.doubleActs());
+        assertTrue(acts.copy().acts().stream().filter(a -> a.who().equals(holder) && a.token() < next.token())
+                .allMatch(a -> a.at() < next.at()), "its last act comes before the first of its successor");
+    }
+
+    @Test
+    void killedHolderIsFollowedSoon() throws Exception {
+        String holder = lastDone().who();
+        long killed = System.nanoTime();
+        fleet.kill(number(holder));
+        awaitSuccessor(holder);
+        Judge judge = new Judge(acts.copy());
+        assertEquals(List.of(), judge.doubleActs());
+        assertTrue(judge.handovers(RigTasks.LEASE, List.of(killed)).get(0) < 4 * TTL_MS * 1_000_000,
+                "on any machine within four times its lease; twice is measured, not tested");
+    }
+
+    @Test
+    void plannedStopHandsOverAtOnce() throws Exception {
+        String holder = lastDone().who();
+        long stopped = System.nanoTime();
+        fleet.stop(number(holder));
+        Act next = awaitSuccessor(holder);
+        Judge judge = new Judge(acts.copy());
+        assertEquals(List.of(), judge.doubleActs());
+        long last = acts.copy().acts().stream().filter(a -> a.done() && a.who().equals(holder)).mapToLong(Act::at).max().orElse(stopped);
+        assertTrue(next.at() - last < TTL_MS * 1_000_000, "handed over in " + (next.at() - last) / 1_000_000 + " ms");
+    }
+}
--- a/src/test/java/calicostream/rig/MembersTest.java
+++ b/src/test/java/calicostream/rig/MembersTest.java
@@ -59,6 +59,8 @@
         Judge judge = new Judge(history.copy());
         assertEquals(List.of(), judge.answeredTwice());
         assertEquals(List.of(), judge.ranTwice());
+        assertEquals(List.of(), judge.doubleActs());
+        assertTrue(fleet.resource.last() > begun, "nobody acted under the lease");
     }
 
     @AfterAll
