--- a/src/test/java/calicostream/cluster/process/LeaseProcessTest.java
+++ b/src/test/java/calicostream/cluster/process/LeaseProcessTest.java
@@ -42,7 +42,7 @@
 
     private void start(FencedStand stand) throws Exception {
         for (int number = 1; number <= 3; number++) {
-            members.add(new MemberProcess(folder.resolve("m" + number), changes.port(), MemberProcess.settings(number, ports, "")
+            members.add(new MemberProcess(folder.resolve("m" + number), changes.port(), List.of(), MemberProcess.settings(number, ports, "")
                     + "[lease]\nttl = \"" + TTL_MS + "ms\"\n", stand.options("m" + number).toArray(String[]::new)));
         }
     }
