Drawn deployments: an engine's own grant knows no more than the client's estimate

The model drew it from the true need, 30% off, so the plainest policy, which leaves grants to engines, knew what the module can't.

--- a/src/measure/java/calicostream/deployments/Ask.java
+++ b/src/measure/java/calicostream/deployments/Ask.java
@@ -2,11 +2,11 @@
 package calicostream.deployments;
 
 import calicostream.QueryRouter.Query;
-import java.util.SplittableRandom;
 
 /** What a client wants, over all its tries: one is at one front end at a time. */
 final class Ask {
-    private static final double GUESS_OFF = 0.3; // deviation of the log of an engine's guess
+    private static final double OVER_ESTIMATE = 1.25; // what an engine grants by itself
+    private static final double OVER_USUAL = 1.5; // the same of what the class usually needs, where there is no estimate
     final long at;
     final int frontEnd;
     final int lane;
@@ -40,9 +40,9 @@
         this.aimUs = aimUs;
     }
 
-    /** What an engine grants by itself: its own guess is off, too, and leans to the safe side. */
-    double guessedMb() {
-        return memoryMb * Math.exp(GUESS_OFF * new SplittableRandom(at + group).nextGaussian() + GUESS_OFF);
+    /** What an engine grants by itself; it knows no more of what the query needs than the client tells. */
+    double guessedMb(double usualMb) {
+        return toldMemoryMb > 0 ? OVER_ESTIMATE * toldMemoryMb : OVER_USUAL * usualMb;
     }
 
     Query query(long id, long now, boolean marked) {
--- a/src/measure/java/calicostream/deployments/Deployments.java
+++ b/src/measure/java/calicostream/deployments/Deployments.java
@@ -54,6 +54,8 @@
         Played played = play(seed, number);
         out.accept(played.draw().toString());
         out.accept(played.toString());
+        out.accept("module " + played.module().byLane());
+        out.accept("plain " + played.plain().byLane());
     }
 
     /** The figures' line; each draw that breaks a rule, or serves too little, is told with what replays it. */
--- a/src/measure/java/calicostream/deployments/FrontEnd.java
+++ b/src/measure/java/calicostream/deployments/FrontEnd.java
@@ -243,7 +243,8 @@
         Ask ask = a.of.ask;
         double most = draw.allowed().mostGrant() * draw.kinds().get(m.kind).memoryMb();
         boolean granted = draw.allowed().grants() && a.of.memoryMb > 0;
-        a.run = new Machine.Run(ask, draw.lanes().get(ask.lane), Math.min(most, granted ? a.of.memoryMb : ask.guessedMb()),
+        Draw.Lane lane = draw.lanes().get(ask.lane);
+        a.run = new Machine.Run(ask, lane, Math.min(most, granted ? a.of.memoryMb : ask.guessedMb(lane.memoryMb())),
                 a.of.priority, ask.deadline, outcome -> ran(a, outcome));
         if (a.of.out != a) {
             return; // Called off before it came.
--- a/src/measure/java/calicostream/deployments/Play.java
+++ b/src/measure/java/calicostream/deployments/Play.java
@@ -10,9 +10,12 @@
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 /** A draw played to its end in virtual time with one policy in each front end. */
 final class Play {
@@ -23,7 +26,7 @@
 
     /** What came of it; {@code served}: worth served within its time, and less after it, of the worth asked for. */
     record Result(Breaks breaks, double served, double probesPerQuery, double overProbed, double refused, double failed,
-            double coldPeak, long queries) { }
+            double coldPeak, long queries, String byLane) { }
 
     static final long ASK_WITHIN = 10_000_000; // us within which a front end without a subscription asks for the list
     private static final long DIED = 2_000_000; // us until the list's source knows that a process has died
@@ -93,7 +96,16 @@
         double over = lives.stream().mapToLong(f -> f.overProbed).sum() / Math.max(1, probes);
         return new Result(breaks, served / asked, probes / queries, over, lives.stream().mapToLong(f -> f.refused).sum() / queries,
                 lives.stream().mapToLong(f -> f.failed).sum() / queries,
-                colds.values().stream().mapToDouble(c -> c.peak).max().orElse(0), (long) queries);
+                colds.values().stream().mapToDouble(c -> c.peak).max().orElse(0), (long) queries, byLane());
+    }
+
+    /** Of each class, the part of its worth that was served. */
+    private String byLane() {
+        return IntStream.range(0, draw.lanes().size()).mapToObj(lane -> {
+            double worth = asks.stream().filter(a -> a.lane == lane).mapToDouble(a -> a.worth).sum();
+            double got = asks.stream().filter(a -> a.lane == lane).mapToDouble(a -> a.served * a.worth).sum();
+            return String.format(Locale.ROOT, "%s %.2f of %.0f", draw.lanes().get(lane).name(), got / Math.max(1e-9, worth), worth);
+        }).collect(Collectors.joining(", "));
     }
 
     // ---- Clients ------------------------------------------------------------------------------------------
