A report of memory or disks alone counts, and a refusal tells of its engine alone

The greater of an unknown busy share and a known one was unknown, so deployments that tell only x0 or x1 had no reports, and probed for each query. And an answer "full" counted into what is usual on all engines: where nothing else is reported it stayed there for good, so engines with nothing to do had no room.

--- a/src/main/java/calicostream/Logic.java
+++ b/src/main/java/calicostream/Logic.java
@@ -989,12 +989,12 @@
         room = Double.isNaN(report.utilization()) ? BLIND_ROOM : ROOM;
         double each = Math.max(1, smoothThreads / Math.max(1e-9, smoothQueries));
         double counted = (report.running() - n.running.size()) * each;
-        double full = Math.max(report.utilization(), report.saturation()); // Cores idle in a jam.
-        double busy = full / BUSY_FULL * ROOM * n.cores - n.ownThreads;
-        boolean idle = full < BUSY_FULL; // What is counted beyond it waits, and is no load.
-        double others = Double.isNaN(counted) ? busy : idle ? Math.min(counted, busy) : counted;
+        double busy = report.fullest() / BUSY_FULL * room * n.cores - n.ownThreads; // Cores idle in a jam.
+        boolean idle = Math.max(report.utilization(), report.fullest()) < BUSY_FULL; // What is over waits.
+        double others = Math.max(0, Double.isNaN(counted) ? busy : idle ? Math.min(counted, busy) : counted);
         if (!Double.isNaN(others)) {
-            view(now, n, Math.max(0, others), Math.min(REPORT_WEIGHT, (now - n.reportAt) / SMOOTH));
+            view(now, n, others, Math.min(REPORT_WEIGHT, (now - n.reportAt) / SMOOTH));
+            usual += (others / n.cores - usual) * Math.max(USUAL_WEIGHT, 1.0 / (++reports + DOUBT));
         }
     }
 
@@ -1003,7 +1003,6 @@
         n.others += (others - n.others) * Math.max(1 - trust(n, now), weight);
         n.seen = true;
         n.reportAt = now;
-        usual += (others / n.cores - usual) * Math.max(USUAL_WEIGHT, 1.0 / (++reports + DOUBT));
     }
 
     // ---- The tick -----------------------------------------------------------------------------------
--- a/src/main/java/calicostream/QueryRouter.java
+++ b/src/main/java/calicostream/QueryRouter.java
@@ -186,6 +186,11 @@
             this(running, utilization, 0);
         }
 
+        /** The fullest share of all that it tells of, NaN where it tells of none. */
+        public double fullest() {
+            return saturation > 0 ? Double.isNaN(utilization) ? saturation : Math.max(utilization, saturation) : utilization;
+        }
+
         /** This report with a column of the engine's load report set; columns of no use here are passed over. */
         public Report with(String column, double value) {
             switch (column) {
--- /dev/null
+++ b/src/test/java/calicostream/UntoldTest.java
@@ -0,0 +1,54 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream;
+
+import static calicostream.Recorder.MS;
+import static calicostream.Recorder.S;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import calicostream.QueryRouter.Effect;
+import calicostream.QueryRouter.Outcome;
+import calicostream.QueryRouter.QueryClass;
+import calicostream.QueryRouter.Report;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What the module makes of deployments that tell it little: no reports, reports of one share, no estimates, no costs. */
+class UntoldTest {
+    private static final QueryClass LOOK = Recorder.look(Effect.REPEATABLE);
+    private static final int FULL = (int) (8 * Logic.BLIND_ROOM);
+
+    private static int sentOf(Recorder r, int asked) {
+        for (int i = 0; i < asked; i++) {
+            r.ask(1000 + i, 0);
+        }
+        return r.sent.size();
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"x0", "x1"})
+    void fullShareAloneFillsAnEngineAndALowOneLeavesItRoom(String column) {
+        int[] sent = new int[2];
+        for (int i = 0; i < 2; i++) {
+            Recorder r = Recorder.with(Recorder.settings(3, LOOK), 1);
+            for (int told = 0; told < 20; told++) {
+                r.now += S;
+                r.logic.probed(r.now, 1, Outcome.OK, Report.NOTHING.with(column, i == 0 ? 1 : 0.1));
+            }
+            sent[i] = sentOf(r, 30);
+        }
+        assertTrue(sent[0] == 0 && sent[1] > FULL / 2, sent[0] + " on a full engine, " + sent[1] + " on an idle one");
+    }
+
+    /** One that turns a query away is full, but it tells nothing of the others. */
+    @Test
+    void refusalOfOneEngineLeavesTheOthersTheirRoom() {
+        Recorder r = Recorder.with(Recorder.settings(3, 1, 0, false, List.of(), LOOK), 4);
+        r.ask(1, 0);
+        r.end(r.last(), Outcome.FULL);
+        r.pass(100 * MS);
+        assertEquals(1 + 3 * FULL, sentOf(r, 100));
+    }
+}
