--- a/src/main/java/calicostream/Logic.java
+++ b/src/main/java/calicostream/Logic.java
@@ -191,7 +191,7 @@
     private final double[] work = new double[2], asked = new double[2]; // sums and times, as in each group
     private final ArrayDeque<Long> takenAt = new ArrayDeque<>(), extraAt = new ArrayDeque<>();
     private double ownThreads, smoothThreads, smoothQueries, fleetCores, usual, heaviest;
-    private double room = ROOM, slowdown = 1.3, meanWorth, meanCost;
+    private double room = BLIND_ROOM, slowdown = 1.3, meanWorth, meanCost;
     private int rosterChanges, benched, ownQueries, processes = 1, place;
     private long reports, lastTick, lastQuery, forgetAt, keysRest, awakeAt = LONG_AGO;
     private long askRosterAt = Long.MAX_VALUE;
--- a/src/test/java/calicostream/UntoldTest.java
+++ b/src/test/java/calicostream/UntoldTest.java
@@ -27,6 +27,11 @@
         return r.sent.size();
     }
 
+    @Test
+    void engineThatReportsNothingHasTheRoomOfThreadsThatPartlyWait() {
+        assertEquals(FULL, sentOf(Recorder.with(1, LOOK), 30));
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"x0", "x1"})
     void fullShareAloneFillsAnEngineAndALowOneLeavesItRoom(String column) {
