Grants are left to the engine until an answer has told what its class needs

Where costs are not told nothing is ever learned, and each query was granted twice its estimate, against a quarter over it by the engine itself.

--- a/src/main/java/calicostream/Logic.java
+++ b/src/main/java/calicostream/Logic.java
@@ -642,7 +642,8 @@
 
     /** Grant: the need that answers taught for the class, with its spread. Priority: worth for work. */
     private void terms(long now, Job job) {
-        double grant = job.query.memoryMb() * job.learned.memory.upper(GRANT_SIGMAS);
+        Bias memory = job.learned.memory;
+        double grant = memory.seen > 0 ? job.query.memoryMb() * memory.upper(GRANT_SIGMAS) : 0;
         int priority = job.value * meanCost > VALUABLE * meanWorth ? 3 : 1;
         if (settings.engines().grants() || settings.engines().priorities()) {
             actions.terms(job.query.id(), grant, job.overShare || now > job.due ? 0 : priority);
--- a/src/test/java/calicostream/UntoldTest.java
+++ b/src/test/java/calicostream/UntoldTest.java
@@ -56,4 +56,14 @@
         r.pass(100 * MS);
         assertEquals(1 + 3 * FULL, sentOf(r, 100));
     }
+
+    @Test
+    void grantIsLeftToTheEngineUntilAnAnswerTellsOfMemory() {
+        Recorder r = Recorder.with(1, LOOK);
+        r.ask(1, 0);
+        assertEquals(0, r.terms.get(0)[1], 0);
+        r.end(r.last(), Outcome.OK, 100, 100);
+        r.ask(2, 0);
+        assertTrue(r.terms.get(1)[1] > 100, r.terms.get(1)[1] + " MB");
+    }
 }
