--- a/src/main/java/calicostream/Logic.java
+++ b/src/main/java/calicostream/Logic.java
@@ -439,8 +439,8 @@
     }
 
     private static double weight(Job job) {
-        double run = job.learned.run * job.spec.threads();
-        return job.learned.usual > 0 ? job.learned.usual : Math.max(job.cost, run);
+        double run = job.learned.run * job.spec.threads(); // Holds waits: too much rather than too little.
+        return job.learned.usual > 0 && job.learned.least <= 0 ? job.learned.usual : Math.max(job.cost, run);
     }
 
     /** Sessions: threads in hand, own and others', stay under what the cores do well. */
--- a/src/test/java/calicostream/UntoldTest.java
+++ b/src/test/java/calicostream/UntoldTest.java
@@ -7,9 +7,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import calicostream.QueryRouter.Effect;
+import calicostream.QueryRouter.EngineState;
 import calicostream.QueryRouter.Outcome;
+import calicostream.QueryRouter.Query;
 import calicostream.QueryRouter.QueryClass;
 import calicostream.QueryRouter.Report;
+import calicostream.QueryRouter.RosterKind;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -66,4 +69,25 @@
         r.ask(2, 0);
         assertTrue(r.terms.get(1)[1] > 100, r.terms.get(1)[1] + " MB");
     }
+
+    /** Run times in a quiet hour say how little a query can take, not how much the next ones of its class will. */
+    @Test
+    void coldEngineIsSentByUsualRunTimesWhereNothingTellsOfWork() {
+        int[] sent = new int[2];
+        for (int slow = 0; slow < 2; slow++) {
+            Recorder r = Recorder.with(Recorder.settings(1, LOOK), 1);
+            for (int i = 1; i <= 200; i++) {
+                r.logic.query(r.now, new Query(i, 0, 0, 0, 10 * S, 0, 0, 0, false));
+                r.now += slow == 1 && i > 20 ? 2 * S : 100 * MS;
+                r.end(r.last(), Outcome.OK);
+            }
+            r.roster(RosterKind.COMPLETE, Recorder.engine(2, r.now, EngineState.READY));
+            int before = r.sent.size();
+            for (int i = 1000; i < 1100; i++) {
+                r.logic.query(r.now, new Query(i, 0, 0, 0, 10 * S, 0, 0, 0, false));
+            }
+            sent[slow] = r.sent.size() - before;
+        }
+        assertTrue(sent[1] > 0 && sent[1] < sent[0], sent[1] + " of the slower ones, " + sent[0] + " of the others");
+    }
 }
