make measure-cluster: seven real processes under faults, paired with four without

The figures of the cluster under faults were to be had from virtual time alone. One line from seven processes of the program, a relay on each directed link and up to 20 kinds of faults of links, processes and disks; what layers do that do not stand yet reads none.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run measure-flight measure-mass measure-deployments measure-durable measure-budget prove-lease
+.PHONY: build test lint run measure-flight measure-mass measure-deployments measure-durable measure-budget prove-lease measure-cluster
 
 build:
 	mvn -q -DskipTests package
@@ -46,3 +46,9 @@
 measure-budget:
 	mvn -q -DskipTests package dependency:copy-dependencies -DincludeScope=test -DoutputDirectory=target/test-lib
 	timeout 55 java -cp 'target/classes:target/test-classes:target/test-lib/*' calicostream.measure.BudgetMeasure
+
+# Seven real processes of a cluster and four twins without one, under faults of links, processes and disks; the last line holds the figures.
+# SEED: another order and other victims.
+measure-cluster:
+	mvn -q -DskipTests package dependency:copy-dependencies -DincludeScope=test -DoutputDirectory=target/test-lib
+	timeout 55 java -XX:+UseSerialGC -Xmx256m -cp 'target/classes:target/test-classes:target/test-lib/*' calicostream.rig.ClusterMeasure $(or $(SEED),1)
--- /dev/null
+++ b/src/measure/java/calicostream/rig/ClusterMeasure.java
@@ -0,0 +1,288 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.rig;
+
+import calicostream.rig.History.Act;
+import calicostream.rig.RigDisks.Lie;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Stream;
+
+/**
+ * Seven processes of the program in one cluster, four of them with a twin that has none, under faults of links, processes and disks; the last
+ * line has the figures, "none" for what this version does not do. First argument: a seed, by which victims and order are drawn. It ends
+ * within 50 seconds, with fewer repeats on a slow machine.
+ */
+public final class ClusterMeasure {
+    private static final int MEMBERS = 7;
+    private static final int VOTERS = 5;
+    private static final Set<Integer> TWINNED = Set.of(1, 2, 6, 7);
+    private static final long ASK_EVERY_MS = 20;
+    private static final long TTL_MS = 1_000;
+    private static final long FAULT_MS = 800; // longer than a leader is doubted
+    private static final long END_NANOS = 45_000_000_000L; // since the start, after which nothing new is begun
+    private static final int KILLS = 4;
+    private static final int LINK_FAULTS = 10;
+
+    private interface Fault {
+        void play() throws Exception;
+    }
+
+    private final long began = System.nanoTime();
+    private final Random random;
+    private final Twins twins;
+    private final Fleet fleet;
+    private final Set<String> kinds = new java.util.TreeSet<>();
+    private final List<Long> killed = new ArrayList<>();
+    private final Map<String, Fault> faults = new LinkedHashMap<>();
+
+    private ClusterMeasure(Path folder, long seed) throws IOException {
+        random = new Random(seed);
+        twins = new Twins(folder, Fleet.Plan.of(MEMBERS, VOTERS), TWINNED, ASK_EVERY_MS);
+        fleet = twins.on;
+        link("cut", LinkFault.CUT);
+        link("stall", LinkFault.STALL);
+        link("mute", LinkFault.MUTE);
+        link("swallow", LinkFault.SWALLOW);
+        faults.put("cut-one-way", () -> from(LinkFault.CUT, leader()));
+        faults.put("stall-one-way", () -> from(LinkFault.STALL, leader()));
+        all("delay", LinkFault.delay(60));
+        all("throttle", LinkFault.throttle(30_000));
+        all("reset", LinkFault.resetAfter(3_000));
+        all("rot", LinkFault.rot(5_000));
+        faults.put("leader-stopped", () -> pause(List.of(leader()), 2 * FAULT_MS));
+        faults.put("quorum-stopped", () -> pause(List.of(1, 2, 3), 2 * FAULT_MS));
+        faults.put("holder-stopped-in-act", this::stopInAct);
+        faults.put("planned-stop", () -> again(victim(holder()), true));
+        faults.put("leader-killed", () -> again(victim(leader()), false));
+        faults.put("slow-disk", () -> disk(Lie.SLOW, 700, leader(), false));
+        faults.put("full-disk", () -> disk(Lie.FULL, 0, follower(), true));
+        faults.put("failing-disk", () -> disk(Lie.FAILS, 0, follower(), true));
+        faults.put("two-on-one-folder", this::second);
+    }
+
+    public static void main(String[] args) throws Exception {
+        long seed = args.length > 0 ? Long.parseLong(args[0]) : 1;
+        Path folder = Files.createTempDirectory("cluster");
+        ClusterMeasure measure = new ClusterMeasure(folder, seed);
+        try (Twins ending = measure.twins) {
+            System.out.println(measure.run(seed));
+        } finally {
+            try (Stream<Path> files = Files.walk(folder)) {
+                files.sorted(Comparator.reverseOrder()).forEach(each -> each.toFile().delete());
+            }
+        }
+    }
+
+    private String run(long seed) throws Exception {
+        twins.startAll();
+        leader();
+        awaitHolder("");
+        long from = System.nanoTime();
+        say("started");
+        List<String> order = order();
+        for (int i = 0; i < order.size() && !isLate(0); i++) {
+            play(order.get(i));
+            if (i % (order.size() / KILLS) == 0) {
+                play("holder-killed");
+            }
+        }
+        while (!twins.look() && !isLate(3_000_000_000L)) {
+            Await.pass(20);
+        }
+        long to = System.nanoTime();
+        twins.on.load.settle();
+        twins.off.load.settle();
+        return line(seed, from, to);
+    }
+
+    /** Drawn, but those of links first: they restart no process, so that a slow machine gets through them. */
+    private List<String> order() {
+        List<String> all = new ArrayList<>(faults.keySet());
+        Collections.shuffle(all.subList(0, LINK_FAULTS), random);
+        Collections.shuffle(all.subList(LINK_FAULTS, all.size()), random);
+        return all;
+    }
+
+    private boolean isLate(long more) {
+        return System.nanoTime() - began > END_NANOS + more;
+    }
+
+    private void say(String what) {
+        System.out.printf(Locale.ROOT, "%6.2f s %s%n", (System.nanoTime() - began) / 1e9, what);
+    }
+
+    private void play(String kind) throws Exception {
+        twins.look();
+        say(kind);
+        if (kind.equals("holder-killed")) {
+            killHolder();
+        } else {
+            faults.get(kind).play();
+        }
+        kinds.add(kind);
+        fleet.heal();
+    }
+
+    // ---- Who is what -------------------------------------------------------------------------------------
+
+    /** Who leads, as most that run say; the first voter that runs if nobody does for long. */
+    private int leader() throws Exception {
+        List<Integer> up = twins.up();
+        long end = System.nanoTime() + 3_000_000_000L;
+        while (System.nanoTime() < end) {
+            for (int each : up) {
+                if (each <= VOTERS && fleet.signs(each).getBoolean("leads", false)) {
+                    return each;
+                }
+            }
+            Await.pass(10);
+        }
+        return up.get(0);
+    }
+
+    private int follower() throws Exception {
+        int leader = leader();
+        List<Integer> others = new ArrayList<>(twins.up());
+        others.removeIf(each -> each == leader || each > VOTERS);
+        return others.get(random.nextInt(others.size()));
+    }
+
+    private Optional<Act> lastAct() {
+        return fleet.history.copy().acts().stream().filter(Act::done).max(Comparator.comparingLong(Act::at));
+    }
+
+    private int holder() {
+        return lastAct().map(act -> Integer.parseInt(act.who().substring(1))).orElse(1);
+    }
+
+    /** Waits for an act by another one, for a bounded time. */
+    private void awaitHolder(String other) {
+        long end = System.nanoTime() + 4 * TTL_MS * 1_000_000;
+        while (System.nanoTime() < end && lastAct().filter(act -> !act.who().equals(other)).isEmpty()) {
+            Await.pass(5);
+        }
+    }
+
+    /** That one, unless its end would leave no quorum while others still start. */
+    private int victim(int wanted) throws Exception {
+        List<Integer> up = twins.up();
+        long voters = up.stream().filter(each -> each <= VOTERS).count();
+        return up.contains(wanted) && (wanted > VOTERS || voters > VOTERS / 2 + 1) ? wanted : up.get(up.size() - 1);
+    }
+
+    // ---- Faults ------------------------------------------------------------------------------------------
+
+    private void link(String kind, LinkFault fault) {
+        faults.put(kind, () -> {
+            fleet.isolate(fault, List.of(leader()));
+            Await.pass(FAULT_MS);
+        });
+    }
+
+    private void all(String kind, LinkFault fault) {
+        faults.put(kind, () -> {
+            fleet.set(fault, fleet.members(), fleet.members());
+            Await.pass(FAULT_MS);
+        });
+    }
+
+    private void from(LinkFault fault, int member) throws Exception {
+        fleet.set(fault, List.of(member), fleet.members());
+        Await.pass(FAULT_MS);
+    }
+
+    private void pause(List<Integer> members, long millis) throws Exception {
+        for (int each : members) {
+            twins.signal(each, "STOP");
+        }
+        Await.pass(millis);
+        for (int each : members) {
+            twins.signal(each, "CONT");
+        }
+    }
+
+    /** Its twin is stopped and goes on with it. */
+    private void stopInAct() throws Exception {
+        fleet.resource.closeGate();
+        int holder = Integer.parseInt(fleet.resource.awaitHeld().substring(1));
+        twins.signal(holder, "STOP");
+        fleet.resource.openGate();
+        Await.pass(5 * TTL_MS / 2); // Its clients' requests must come through yet.
+        twins.signal(holder, "CONT");
+    }
+
+    private void killHolder() throws Exception {
+        int holder = victim(holder());
+        boolean held = holder == holder();
+        killed.addAll(held ? List.of(System.nanoTime()) : List.of());
+        twins.kill(holder);
+        if (held) {
+            awaitHolder("m" + holder);
+        }
+        twins.launch(holder);
+    }
+
+    private void again(int member, boolean planned) throws Exception {
+        if (planned) {
+            twins.stop(member);
+        } else {
+            twins.kill(member);
+        }
+        Await.pass(FAULT_MS);
+        twins.launch(member);
+    }
+
+    private void disk(Lie lie, long amount, int member, boolean restart) throws Exception {
+        fleet.disk(member, lie, amount);
+        Await.pass(2 * FAULT_MS);
+        fleet.disk(member, Lie.HONEST, 0);
+        if (restart) {
+            twins.stop(member);
+            twins.launch(member);
+        }
+    }
+
+    private void second() throws Exception {
+        int first = follower();
+        try (Proc second = fleet.proc(first, first + 10)) {
+            Await.until(() -> !second.isAlive(), () -> "two processes run on one folder");
+        }
+    }
+
+    // ---- Figures -----------------------------------------------------------------------------------------
+
+    private String line(long seed, long from, long to) {
+        Judge judge = new Judge(fleet.history.copy());
+        Judge without = new Judge(twins.off.history.copy());
+        List<Long> handovers = judge.handovers(RigTasks.LEASE, killed).stream().sorted().toList();
+        long lost = judge.lost().size() + judge.answeredTwice().size() + judge.ranTwice().size();
+        System.out.printf(Locale.ROOT, "acts %d, refused %d; handovers after %d kills of holders, ms: %s%n",
+                fleet.history.copy().acts().size(), fleet.history.copy().acts().stream().filter(act -> !act.done()).count(), killed.size(),
+                handovers.stream().map(each -> each / 1_000_000).toList());
+        System.out.printf(Locale.ROOT, "asked %d with the cluster, served %.5f, 99th percentile %.1f ms; without %d, %.5f, %.1f ms%n",
+                fleet.history.copy().asked().size(), judge.served(TWINNED, from, to), waited(judge, from, to),
+                twins.off.history.copy().asked().size(), without.served(TWINNED, from, to), waited(without, from, to));
+        System.out.println("kinds " + String.join(" ", kinds) + "; lost without the cluster " + without.lost().size());
+        return String.format(Locale.ROOT, "cluster processes=%d fault_kinds=%d double_acts=%d over_cap=none lost_answers=%d "
+                + "bookings_broken=none handover_ttl_ratio_p99=%s fair_distance=none cap_use_ratio=none reclaim_p99_ms=none "
+                + "ready_at_start=none service_ratio_faults=%.4f decision_us_p99=none seed=%d", MEMBERS, kinds.size(),
+                judge.doubleActs().size(), lost, handovers.size() < killed.size() || handovers.isEmpty() ? "none"
+                : String.format(Locale.ROOT, "%.2f", Judge.percentile(handovers, 0.99) / 1e6 / TTL_MS),
+                judge.served(TWINNED, from, to) / without.served(TWINNED, from, to), seed);
+    }
+
+    private static double waited(Judge judge, long from, long to) {
+        return Judge.percentile(judge.waits(TWINNED, from, to), 0.99) / 1e6;
+    }
+}
--- a/src/test/java/calicostream/rig/Proc.java
+++ b/src/test/java/calicostream/rig/Proc.java
@@ -65,6 +65,10 @@
         return List.copyOf(lines);
     }
 
+    synchronized boolean hasSaid(String text) {
+        return lines.stream().anyMatch(line -> line.contains(text));
+    }
+
     /** The first line that has this text, waited for. */
     synchronized String awaitLine(String text) throws InterruptedException {
         long end = System.nanoTime() + PATIENCE_MS * 1_000_000;
@@ -78,6 +82,12 @@
                 + String.join("\n", lines)));
     }
 
+    void assertAlive() {
+        if (!process.isAlive()) {
+            throw new AssertionError(name + " has ended:\n" + String.join("\n", lines()));
+        }
+    }
+
     boolean isAlive() {
         return process.isAlive();
     }
