Trials of benched engines: one front end tries, the others hear when to

Each front end tried each benched engine for itself. The holder of the lease 'trials' says once a second in the log what it leaves out and what has served since; the others' modules hear it as a hint that moves their next trial and nothing else. In the gateway's test an engine that is down gets no trial for 30 s of hints, one within 9 s after them, and a query at once when another was served.

--- a/src/main/java/calicostream/Logic.java
+++ b/src/main/java/calicostream/Logic.java
@@ -893,8 +893,8 @@
 
     /** Takes an engine out; for a mere suspicion only while few are out: beyond that it is load. */
     private void bench(long now, Node n, Object why) {
-        boolean sure = why == Outcome.CONNECT_FAILED || why == Outcome.RESET;
-        if (n.benched && now < n.benchedUntil || !sure && benched >= SUSPECTS * nodes.size()) {
+        boolean sure = why == Outcome.CONNECT_FAILED || why == Outcome.RESET, hint = why == Outcome.CANCELLED;
+        if (hint ? !n.benched : n.benched && now < n.benchedUntil || !sure && benched >= SUSPECTS * nodes.size()) {
             return;
         }
         benched += n.benched ? 0 : 1;
@@ -976,7 +976,7 @@
             if (report != null && outcome == Outcome.OK) {
                 report(now, n, report);
             }
-            if (outcome == Outcome.CONNECT_FAILED) {
+            if (outcome == Outcome.CONNECT_FAILED || outcome == Outcome.CANCELLED) {
                 bench(now, n, outcome);
             }
             n.lookers.forEach(job -> job.looking--);
--- a/src/main/java/calicostream/QueryRouter.java
+++ b/src/main/java/calicostream/QueryRouter.java
@@ -41,10 +41,17 @@
     /** A timer asked for with {@link Actions#timer} is due. */
     void timer(long now, long token);
 
-    /** A probe asked for with {@link Actions#probe} ended; {@code report} is null when none came. */
+    /**
+     * A probe asked for with {@link Actions#probe} ended; {@code report} is null when none came. Unasked, with
+     * {@link Outcome#CANCELLED}, it is a hint: another gateway tries an engine that this one leaves out, in vain so far.
+     * The next trial is put off; where the module leaves the engine not out, nothing comes of it.
+     */
     void probed(long now, long engine, Outcome outcome, Report report);
 
-    /** The operators have put an engine back, as the roster told just now: it is cold, and owed a query soon. */
+    /**
+     * The operators have put an engine back, as the roster told just now: it is cold, and owed a query soon. Of an engine
+     * that the module leaves out it may also be a hint: another gateway has had an answer from it.
+     */
     void restored(long now, long engine);
 
     /**
--- a/src/main/java/calicostream/core/Gateway.java
+++ b/src/main/java/calicostream/core/Gateway.java
@@ -283,6 +283,24 @@
         return (int) roster.keySet().stream().filter(id -> disabled.contains(id) || router.avoids(id)).count();
     }
 
+    /** Engines that may be used: those that the module leaves out by its own choice, but for trials, or all others. */
+    public long[] ready(boolean leftOut) {
+        return roster.values().stream().filter(each -> usable(each).state() == QueryRouter.EngineState.READY)
+                .mapToLong(QueryRouter.Engine::id).filter(id -> router.avoids(id) == leftOut).sorted().toArray();
+    }
+
+    /**
+     * Another front end tries an engine, and was served or not: a hint about when to try it here. It is nothing where the
+     * module uses the engine, and stops nothing from going there that would go there without it.
+     */
+    public void hinted(long engine, boolean served) {
+        if (router.avoids(engine) && served) {
+            tell(r -> r.restored(clock.now(), engine));
+        } else if (router.avoids(engine)) {
+            tell(r -> r.probed(clock.now(), engine, QueryRouter.Outcome.CANCELLED, null));
+        }
+    }
+
     /** Whether an engine has this id, or had it when it was taken out. */
     public boolean knows(long engine) {
         return roster.containsKey(engine) || disabled.contains(engine);
--- a/src/main/java/calicostream/daemon/ClusterPart.java
+++ b/src/main/java/calicostream/daemon/ClusterPart.java
@@ -6,9 +6,12 @@
 import calicostream.cluster.config.SettingsFile;
 import calicostream.cluster.process.Layer;
 import calicostream.cluster.process.Member;
+import calicostream.core.Gateway;
 import calicostream.core.Service;
+import calicostream.lease.Trials;
 import calicostream.lease.process.LeaseLayer;
 import calicostream.lease.process.TaskSource;
+import calicostream.net.Loop;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -21,11 +24,13 @@
 final class ClusterPart implements Service {
     private static final String LIBRARY = "org/tomlj/Toml.class";
     private final ClusterConfig config;
+    private final LeaseLayer leases;
     private final List<Layer> layers;
     private Member member;
 
-    private ClusterPart(ClusterConfig config, List<Layer> layers) {
+    private ClusterPart(ClusterConfig config, LeaseLayer leases, List<Layer> layers) {
         this.config = config;
+        this.leases = leases;
         this.layers = layers;
     }
 
@@ -40,22 +45,23 @@
         if (config == null) {
             return null;
         }
-        List<Layer> layers = layers(config, file);
+        LeaseLayer leases = new LeaseLayer(config.leaseTtl());
+        List<Layer> layers = layers(config, file, leases);
         file.done();
-        return new ClusterPart(config, layers);
+        return new ClusterPart(config, leases, layers);
     }
 
     /** Each layer takes its settings out of the file; all members must have the same layers. */
-    private static List<Layer> layers(ClusterConfig config, SettingsFile file) {
+    private static List<Layer> layers(ClusterConfig config, SettingsFile file, LeaseLayer leases) {
         List<Layer> out = new ArrayList<>();
-        LeaseLayer leases = new LeaseLayer(config.leaseTtl());
         TaskSource.chosen().forEach(leases::add);
         out.add(leases);
         return out;
     }
 
     /** Before anybody is served: what ends the program must do so now. */
-    void join() throws IOException {
+    void join(Loop loop, Gateway gateway) throws IOException {
+        leases.add(new Trials(new TrialsPort(loop, gateway)));
         // The library tells each vote and heartbeat that it misses; what matters of it the member says itself.
         System.setProperty("org.slf4j.simpleLogger.log.io.microraft", System.getProperty("org.slf4j.simpleLogger.log.io.microraft", "off"));
         member = Member.start(config, layers);
--- a/src/main/java/calicostream/daemon/Composition.java
+++ b/src/main/java/calicostream/daemon/Composition.java
@@ -58,7 +58,7 @@
         }
         Function<Object, byte[]> text = flight == null ? rows -> (byte[]) rows : flight.text();
         if (cluster != null) {
-            cluster.join();
+            cluster.join(loop, gateway);
             services.add(cluster);
         }
         return new Node(config, new Parts(descriptors, loop, gateway, engines, text, services), shared);
--- a/src/main/java/calicostream/lease/Trials.java
+++ b/src/main/java/calicostream/lease/Trials.java
@@ -2,123 +2,209 @@
 package calicostream.lease;
 
 import calicostream.cluster.Bytes;
+import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.BiConsumer;
 
 /**
- * Trials of benched engines, so that one process of the fleet tries an engine and the others hear how it went. Pure, one thread, its own
- * monotonic time in nanoseconds. What is heard is a hint with an age: it never orders a process to use or to leave an engine, and a
- * process that hears nothing tries for itself, as without the cluster.
+ * Trials of benched engines, so that one process of the fleet tries an engine and the others hear how it went. The holder says which
+ * engines its front end leaves out and tries, and which of them have served since; the others take it as a hint with an age, which moves
+ * their own next trial. It never makes a process use or leave an engine: a process that hears nothing tries for itself, as without the
+ * cluster. Decisions alone; one thread, the session's.
+ *
+ * <p>What the holder says is its present view and not what changed, so a word that is lost costs a period.
  */
-public final class Trials {
+public final class Trials implements Task {
     /** The lease under which one process tries. */
     public static final String LEASE = "trials";
+    static final long CHANGE = 250_000_000; // ns at least between two words
+    static final long REPEAT = 1_000_000_000; // ns between two that say the same
+    static final int SAYINGS = 3; // of an engine that has served
+    static final int MOST = 1024; // engines in a word
+    private static final int VERSION = 1;
+    private static final int ENTRY = 13;
 
-    /** How a trial went, and how long ago at least. */
+    /** How it went with an engine elsewhere, and how long ago that is at least. */
     public record Hint(boolean served, long ageNanos) { }
 
-    /**
-     * @param every from one trial of an engine to the next
-     * @param fresh until when a hint is worth something
-     * @param patience after which a process that heard nothing of its engine tries for itself; more than {@code every}
-     */
-    public record Pace(long every, long fresh, long patience) { }
-
-    private static final class Engine {
-        long since; // benched here, or last tried here
-        boolean isOut;
-        boolean told;
-        boolean served;
-        long trialAt;
+    /** What a word says of an engine: since when it is out, or when it had served, both as an age at the sender, in milliseconds. */
+    private record Said(long engine, boolean served, int ageMillis) { }
+
+    /** Engines that may be used, in rising order: those that are left out by choice, but for trials, and all others. */
+    public record View(long[] leftOut, long[] used) { }
+
+    /** The front end's side; both are to return at once, from state in memory. */
+    public interface FrontEnd {
+        /** Its engines as of some moments ago. */
+        View view();
+
+        /** Another one tries it, or has had an answer from it; nothing comes of it where the engine is not left out. */
+        void hinted(long engine, boolean served);
     }
 
-    private final Pace pace;
-    private final Map<Long, Engine> benched = new LinkedHashMap<>();
+    private static final class Back {
+        long since;
+        int said;
+    }
+
+    private final FrontEnd front;
+    private final Map<Long, Long> outSince = new TreeMap<>(); // at this process while it holds
+    private final Map<Long, Back> back = new TreeMap<>();
+    private final Map<Long, Long> known = new TreeMap<>(); // engine, and the word's number with which it had served
+    private final Map<Long, Hint> hints = new LinkedHashMap<>();
+    private final Map<Long, Long> hintedAt = new TreeMap<>();
+    private Set<Long> saidOut = Set.of();
+    private long saidAt;
+    private boolean started;
+    private boolean holds;
+    private long number;
+    private long token; // of the last word that was heard
+    private long heardNumber;
+    private long lastNow;
 
-    public Trials(Pace pace) {
-        this.pace = pace;
+    public Trials(FrontEnd front) {
+        this.front = front;
     }
 
-    /** This process benched the engine. Trials and hints from before say nothing of what happened since. */
-    public void benched(long now, long engine) {
-        Engine made = new Engine();
-        made.since = now;
-        benched.put(engine, made);
+    @Override
+    public String lease() {
+        return LEASE;
     }
 
-    /** It is used again, or gone. */
-    public void back(long engine) {
-        benched.remove(engine);
+    // ---- The holder -----------------------------------------------------------------------------------
+    @Override
+    public void started(Acts acts) {
+        holds = true;
+        started = false;
+        number = 0;
+        outSince.clear();
+        back.clear();
+        saidOut = Set.of();
     }
 
-    /**
-     * The engine to try now, the one that has waited longest; its end is told by {@link #tried}. One at a time, so that a zone that is
-     * lost does not cost a burst of trials.
-     *
-     * @param holds whether this process holds the lease
-     */
-    public OptionalLong next(long now, boolean holds) {
-        long chosen = 0;
-        Engine longest = null;
-        for (Map.Entry<Long, Engine> each : benched.entrySet()) {
-            Engine engine = each.getValue();
-            if (engine.isOut) {
-                return OptionalLong.empty();
-            }
-            boolean due = now - engine.since >= (holds ? pace.every : pace.patience);
-            boolean heard = !holds && engine.told && now - engine.trialAt < pace.patience;
-            if (due && !heard && (longest == null || engine.since - longest.since < 0)) {
-                longest = engine;
-                chosen = each.getKey();
-            }
+    @Override
+    public void stopped() {
+        holds = false;
+    }
+
+    @Override
+    public void step(Acts acts, long now) {
+        if (started && now - saidAt < CHANGE) {
+            return;
         }
-        if (longest == null) {
-            return OptionalLong.empty();
+        lastNow = now;
+        look(now);
+        boolean changed = !outSince.keySet().equals(saidOut) || back.values().stream().anyMatch(each -> each.said == 0);
+        if ((!outSince.isEmpty() || !back.isEmpty()) && (changed || now - saidAt >= REPEAT)) {
+            started = true;
+            saidAt = now;
+            saidOut = Set.copyOf(outSince.keySet());
+            acts.tell(word(now), outcome -> { });
         }
-        longest.isOut = true;
-        return OptionalLong.of(chosen);
     }
 
-    /** How the trial went here. What it returns is for the log, under the lease, if this process still holds it. */
-    public byte[] tried(long now, long engine, boolean served) {
-        Engine of = benched.get(engine);
-        if (of != null) {
-            of.isOut = false;
-            of.since = now;
-            told(of, served, now);
+    private void look(long now) {
+        View view = front.view();
+        Set<Long> out = new TreeSet<>();
+        Arrays.stream(view.leftOut).limit(MOST / 2).forEach(out::add);
+        for (long engine : view.used) {
+            if (outSince.remove(engine) != null) {
+                Back made = new Back();
+                made.since = now;
+                back.put(engine, made);
+            }
+        }
+        outSince.keySet().retainAll(out); // The rest is gone from the list, which all have.
+        for (long engine : out) {
+            outSince.putIfAbsent(engine, now);
+            back.remove(engine);
         }
-        return new Bytes.Writer().i64(engine).u8(served ? 1 : 0).done();
+        back.values().removeIf(each -> each.said >= SAYINGS);
+    }
+
+    private byte[] word(long now) {
+        List<Said> all = new ArrayList<>();
+        outSince.forEach((engine, since) -> all.add(new Said(engine, false, millis(now - since))));
+        back.forEach((engine, each) -> {
+            each.said++;
+            all.add(new Said(engine, true, millis(now - each.since)));
+        });
+        Bytes.Writer out = new Bytes.Writer().u8(VERSION).i64(++number).i32(Math.min(MOST, all.size()));
+        all.stream().limit(MOST).forEach(each -> out.i64(each.engine).u8(each.served ? 1 : 0).i32(each.ageMillis));
+        return out.done();
+    }
+
+    private static int millis(long nanos) {
+        return (int) Math.max(0, Math.min(Integer.MAX_VALUE, nanos / 1_000_000));
     }
 
-    /**
-     * The log told of a trial.
-     *
-     * @param ageNanos how old the word is at least: what the copy that told it states
-     * @throws calicostream.cluster.ClusterException.Malformed if it is no word of a trial
-     */
-    public void heard(long now, byte[] word, long ageNanos) {
-        Bytes.Reader in = new Bytes.Reader("trial", word);
-        Engine of = benched.get(in.i64());
-        boolean served = in.u8() != 0;
+    // ---- The others -----------------------------------------------------------------------------------
+    /** @throws calicostream.cluster.ClusterException.Malformed if it is no word of a trial; nothing is done then */
+    @Override
+    public void heard(long of, byte[] payload, long now) {
+        Bytes.Reader in = new Bytes.Reader("trials", payload);
+        in.version(VERSION);
+        long word = in.i64();
+        List<Said> all = new ArrayList<>();
+        for (int left = in.count(ENTRY); left > 0; left--) {
+            all.add(new Said(in.i64(), in.u8() != 0, in.i32()));
+        }
         in.end();
-        long at = now - ageNanos;
-        if (of != null && (!of.told || at - of.trialAt > 0) && at - of.since > 0) {
-            told(of, served, at);
+        if (of < token || of == token && word <= heardNumber) {
+            return; // Late, or there twice.
+        }
+        if (of > token) {
+            known.clear();
+        }
+        token = of;
+        heardNumber = word;
+        lastNow = now;
+        if (!holds) {
+            all.forEach(each -> take(each, word, now));
         }
     }
 
-    private static void told(Engine of, boolean served, long at) {
-        of.told = true;
-        of.served = served;
-        of.trialAt = at;
+    /** That an engine has served is a hint once, however often it is said: it may have failed here since. */
+    private void take(Said said, long word, long now) {
+        if (said.served && known.putIfAbsent(said.engine, word) != null) {
+            return;
+        }
+        if (!said.served) {
+            known.remove(said.engine);
+        }
+        if (hints.size() >= MOST && !hints.containsKey(said.engine)) {
+            Long oldest = hints.keySet().iterator().next();
+            hints.remove(oldest);
+            hintedAt.remove(oldest);
+        }
+        hints.remove(said.engine);
+        hints.put(said.engine, new Hint(said.served, said.ageMillis * 1_000_000L));
+        hintedAt.put(said.engine, now);
+        front.hinted(said.engine, said.served);
     }
 
-    /** What is known of a trial since the engine was benched here; empty once it is too old to be worth something. */
-    public Optional<Hint> hint(long now, long engine) {
-        Engine of = benched.get(engine);
-        return of == null || !of.told || now - of.trialAt > pace.fresh ? Optional.empty()
-                : Optional.of(new Hint(of.served, Math.max(0, now - of.trialAt)));
+    /** What was last heard of each engine, newest last. */
+    public Map<Long, Hint> hints(long now) {
+        Map<Long, Hint> out = new LinkedHashMap<>();
+        hints.forEach((engine, hint) -> out.put(engine, new Hint(hint.served, hint.ageNanos + now - hintedAt.get(engine))));
+        return out;
+    }
+
+    @Override
+    public String figures() {
+        StringBuilder out = new StringBuilder("{\"words\":").append(number).append(",\"hints\":{");
+        String between = "";
+        for (Map.Entry<Long, Hint> each : hints(lastNow).entrySet()) {
+            out.append(between).append('"').append(Long.toHexString(each.getKey())).append("\":{\"served\":").append(each.getValue().served())
+                    .append(",\"age_ms\":").append(each.getValue().ageNanos() / 1_000_000).append('}');
+            between = ",";
+        }
+        return out.append("}}").toString();
     }
 }
--- a/src/test/java/calicostream/core/GatewayTest.java
+++ b/src/test/java/calicostream/core/GatewayTest.java
@@ -14,6 +14,7 @@
 import calicostream.SettingsParser;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -312,6 +313,44 @@
         assertFalse(gateway.knows(9), "nobody has this id");
     }
 
+    /** Looks up every 50 ms for so long; how often the engine that is down was sent to. */
+    private int sentToDown(long us, Runnable each) {
+        int before = sent.size();
+        for (long end = time + us; time < end; pass(50_000)) {
+            each.run();
+            ask(0, time, 1_000_000);
+            while (sent.size() > ended) {
+                Gateway.Attempt attempt = sent.get(ended++);
+                gateway.ended(attempt, attempt.engine == down ? Outcome.CONNECT_FAILED : Outcome.OK, null, new byte[0]);
+            }
+        }
+        return (int) sent.subList(before, sent.size()).stream().filter(attempt -> attempt.engine == home).count();
+    }
+
+    private int ended;
+    private long down;
+    private long home;
+
+    @Test
+    void anotherFrontEndsTrialsPutOffOnesOwnAndItsAnswerBringsThemOn() {
+        gateway.roster(RosterKind.COMPLETE, List.of(engine(7, EngineState.READY), engine(8, EngineState.READY), engine(9, EngineState.READY)));
+        sentToDown(1_000_000, () -> { });
+        home = down = sent.get(0).engine;
+        assertTrue(sentToDown(30_000_000, () -> { }) >= 3, "without hints it tries for itself");
+        assertEquals(List.of(down), Arrays.stream(gateway.ready(true)).boxed().toList());
+        assertEquals(2, gateway.ready(false).length);
+        gateway.hinted(down, false);
+        assertEquals(0, sentToDown(30_000_000, () -> gateway.hinted(down, false)));
+        assertTrue(sentToDown(9_000_000, () -> { }) >= 1, "the hints have ended, and it tries for itself");
+        gateway.hinted(down, true);
+        down = 0;
+        assertTrue(sentToDown(500_000, () -> { }) >= 1, "it is owed a query");
+        assertEquals(0, gateway.ready(true).length);
+        gateway.hinted(7, false);
+        gateway.hinted(8, false);
+        assertEquals(0, gateway.ready(true).length, "a hint benches nothing");
+    }
+
     @Test
     void theModuleCannotSendTwiceAtOnceOrRefuseARunningLoad() {
         long handle = ask(1, 1, 20_000_000);
