--- a/src/measure/java/calicostream/budget/BudgetRuns.java
+++ b/src/measure/java/calicostream/budget/BudgetRuns.java
@@ -26,8 +26,12 @@
     public record Steady(double distance, double use) { }
 
     private static BudgetSettings settings(int floor, int inHand) {
+        return settings(7, floor, inHand);
+    }
+
+    private static BudgetSettings settings(int count, int floor, int inHand) {
         List<String> processes = new ArrayList<>();
-        for (int i = 1; i <= 7; i++) {
+        for (int i = 1; i <= count; i++) {
             processes.add("p" + i);
         }
         return new BudgetSettings(List.of(new BudgetSettings.Pool("core", floor, 500), new BudgetSettings.Pool("scatter", 1, 500)),
@@ -44,6 +48,9 @@
     }
 
     private static BudgetSim faulty(long seed, BudgetSim.Faults faults, Set<Safeguard> out) {
+        if (seed % 2 == 0) {
+            return small(seed, faults, out);
+        }
         SplittableRandom random = new SplittableRandom(seed * 31 + 7);
         int[] caps = random.ints(3, 21, random.nextBoolean() ? 30 : 60).toArray();
         int[] clients = random.ints(4, 1, 8).toArray();
@@ -53,6 +60,24 @@
         return sim;
     }
 
+    /**
+     * One or two engines, two or three processes, little room and much demand: each fault meets whoever is just using what it concerns. Which
+     * faults there are, and how much is late, differs from run to run, as one that is rare among many hides what two of a kind would show.
+     */
+    private static BudgetSim small(long seed, BudgetSim.Faults faults, Set<Safeguard> out) {
+        SplittableRandom random = new SplittableRandom(seed * 31 + 11);
+        int count = random.nextInt(2, 4);
+        int floor = random.nextInt(0, 2);
+        int[] caps = random.ints(random.nextInt(1, 3), count + 1, count + 9).toArray();
+        int[] clients = {random.nextInt(3, 12), random.nextInt(0, 6), 0, 0};
+        BudgetSim.Faults drawn = new BudgetSim.Faults(faults.on(), faults.quorumLost(), random.nextDouble() * 0.2, random.nextDouble() * 0.2,
+                random.nextDouble() * 0.2, random.nextInt(1, 1 << BudgetSim.MISHAPS), random.nextInt(20, 150));
+        BudgetSim sim = new BudgetSim(settings(count, floor, random.nextInt(1, 4)), caps, drawn, out, seed,
+                new SimProcess.Load(clients, random.nextInt(20, 600)));
+        sim.run(20 * SECOND);
+        return sim;
+    }
+
     /** Runs with all faults, from that seed on; fewer if the time is over, which {@link System#nanoTime} tells. */
     public static Faulty faulty(long seed, boolean quorumLost, int most, long until) {
         int runs = 0;
@@ -84,10 +109,10 @@
         return new Faulty(runs, steps, commands, faults, over, first, reclaims, freed, refusals);
     }
 
-    /** The first seed at which the checker finds a break with this safeguard taken out, or -1. */
+    /** The first seed of a small fleet at which the checker finds a break with this safeguard taken out, or -1. */
     static long found(Safeguard safeguard, long seed, int runs) {
         for (int i = 0; i < runs; i++) {
-            if (faulty(seed + i, EnumSet.of(safeguard)).violation != null) {
+            if (small(seed + i, BudgetSim.Faults.ALL, EnumSet.of(safeguard)).violation != null) {
                 return seed + i;
             }
         }
--- a/src/measure/java/calicostream/budget/BudgetSim.java
+++ b/src/measure/java/calicostream/budget/BudgetSim.java
@@ -19,12 +19,19 @@
     static final long MS = 1_000_000;
     private record Event(long at, long order, Runnable run) { }
 
-    /** What happens of itself. */
-    record Faults(boolean on, boolean quorumLost, double lost, double doubled, double stalled) {
-        static final Faults NONE = new Faults(false, false, 0, 0, 0);
-        static final Faults ALL = new Faults(true, true, 0.05, 0.05, 0.01);
+    static final int MISHAPS = 11;
+
+    /**
+     * What happens of itself.
+     *
+     * @param kinds a bit for each kind of mishap that there is
+     * @param everyMillis between two mishaps
+     */
+    record Faults(boolean on, boolean quorumLost, double lost, double doubled, double stalled, int kinds, int everyMillis) {
+        static final Faults NONE = new Faults(false, false, 0, 0, 0, 0, 0);
+        static final Faults ALL = new Faults(true, true, 0.05, 0.05, 0.01, (1 << MISHAPS) - 1, 150);
         /** All but the log's: a bound on time holds only while there is one. */
-        static final Faults WITH_QUORUM = new Faults(true, false, 0.05, 0.05, 0.01);
+        static final Faults WITH_QUORUM = new Faults(true, false, 0.05, 0.05, 0.01, (1 << MISHAPS) - 1, 150);
     }
 
     final BudgetSettings settings;
@@ -78,7 +85,7 @@
         every(50 * MS, this::count);
         every(100 * MS, this::divide);
         if (faults.on) {
-            every(150 * MS, this::mishap);
+            every(faults.everyMillis * MS, this::mishap);
         }
     }
 
@@ -244,7 +251,7 @@
         view.books().processes.forEach((name, process) -> {
             SimEngine engine = engines.get(random.nextInt(engines.size()));
             shares.add(new BudgetCommand.Share(name, process.session, engine.name, engine.incarnation,
-                    settings.tenants().get(random.nextInt(settings.tenants().size())).name(), random.nextInt(engine.cap)));
+                    settings.tenants().get(random.nextInt(settings.tenants().size())).name(), random.nextInt(engine.cap + 1)));
         });
         submit(session, new BudgetCommand.Divide(sent, shares).encode(), effects -> { });
     }
@@ -282,7 +289,9 @@
     }
 
     private void mishap() {
-        switch (random.nextInt(11)) {
+        int kind = random.nextInt(MISHAPS);
+        switch ((faults.kinds >> kind & 1) == 0 ? MISHAPS : kind) {
+            case MISHAPS -> { }
             case 0, 9 -> {
                 injected("process stopped");
                 processes.get(random.nextInt(processes.size())).stop(random.nextLong(50 * MS, random.nextBoolean() ? 4_000 * MS : 900 * MS),
@@ -332,8 +341,9 @@
                 }
             }
             case 8 -> {
-                injected("link cut one way");
-                processes.get(random.nextInt(processes.size())).cut(random.nextBoolean(), random.nextLong(3_000 * MS));
+                int ways = random.nextInt(1, 4);
+                injected(ways == 3 ? "link cut" : "link cut one way");
+                processes.get(random.nextInt(processes.size())).cut((ways & 1) != 0, (ways & 2) != 0, random.nextLong(3_000 * MS));
             }
             default -> {
                 byte[] snapshot = machine.snapshot(); // a copy that starts from a snapshot goes on alike
--- a/src/measure/java/calicostream/budget/SimProcess.java
+++ b/src/measure/java/calicostream/budget/SimProcess.java
@@ -328,10 +328,10 @@
         }
     }
 
-    /** What it sends to the log, or what comes back, is lost for a while. */
-    void cut(boolean out, long nanos) {
+    /** What it sends to the log is lost for a while; what comes back is lost, or comes after the cut. */
+    void cut(boolean out, boolean back, long nanos) {
         dumbUntil = out ? sim.now + nanos : dumbUntil;
-        deafUntil = out ? deafUntil : sim.now + nanos;
+        deafUntil = back ? sim.now + nanos : deafUntil;
     }
 
     /** As by SIGKILL: links close behind what is on them, what it began runs on; a while later it is started anew. */
