Voters ask peers what they remember; simulated disks lie and crash within calls

VoterNode.start(Recall) is new beside start(): no constructor changed. StoreOnLog.recall(self, first, nonce, patience) makes it from the opened log. A voter that forgot stops with cluster-voter-forgot, is barred under its generation and comes back under the next as a learner. Peers keep the incarnations they met on their disks before they answer for them; admit is called on the founders' start and on a promotion.

--- a/src/main/java/calicostream/cluster/ClusterException.java
+++ b/src/main/java/calicostream/cluster/ClusterException.java
@@ -199,6 +199,17 @@
         }
     }
 
+    /** This voter's disk, or a peer, shows that it has forgotten what it promised; it neither votes nor acknowledges any more. */
+    public static final class VoterForgot extends ClusterException {
+        private static final long serialVersionUID = 1L;
+        public static final String CODE = "cluster-voter-forgot";
+
+        public VoterForgot(int member, int generation, String why) {
+            super(CODE, "voter " + member + " of generation " + generation + " is barred: " + why,
+                    "Raise this member's generation, which gives it empty folders, and have the voters changed to that one.");
+        }
+    }
+
     /** The change of voters was not started: another one runs, or it would leave too few. */
     public static final class BadChange extends ClusterException {
         private static final long serialVersionUID = 1L;
--- a/src/main/java/calicostream/cluster/Frame.java
+++ b/src/main/java/calicostream/cluster/Frame.java
@@ -34,6 +34,21 @@
     record News(String machine, long index, Effects.Event event) implements Frame {
     }
 
+    /** A voter asks what is remembered of it; {@code nonce} is this process's, and comes back with the answer. */
+    record Recall(int generation, long incarnation, long nonce) implements Frame {
+    }
+
+    /**
+     * What the answerer, by its own generation, incarnation and nonce, remembers of the asker from before it met its present
+     * incarnation: one that it had seen, the latest term in which that answered it, the highest index it acknowledged in it, the
+     * latest term in which it voted for the answerer; and whether the answerer's group had committed something.
+     *
+     * @param to the asker's nonce
+     */
+    record Recalled(long to, int generation, long incarnation, long nonce, long seenIncarnation, long term, long acknowledged,
+            long voteTerm, boolean grouped) implements Frame {
+    }
+
     default byte[] encode() {
         Bytes.Writer out = new Bytes.Writer().u8(VERSION);
         if (this instanceof Raft raft) {
@@ -44,6 +59,11 @@
             reply.outcome.encode(out.u8(3).i64(reply.id).i64(reply.ageNanos));
         } else if (this instanceof News news) {
             out.u8(4).text(news.machine).i64(news.index).text(news.event.kind()).i64(news.event.to()).blob(news.event.body());
+        } else if (this instanceof Recall ask) {
+            out.u8(5).i32(ask.generation).i64(ask.incarnation).i64(ask.nonce);
+        } else if (this instanceof Recalled told) {
+            out.u8(6).i64(told.to).i32(told.generation).i64(told.incarnation).i64(told.nonce).i64(told.seenIncarnation).i64(told.term)
+                    .i64(told.acknowledged).i64(told.voteTerm).u8(told.grouped ? 1 : 0);
         }
         return out.done();
     }
@@ -71,6 +91,8 @@
                 long to = in.i64();
                 yield new News(machine, index, new Effects.Event(what, in.blob(Command.MAX_BODY), to));
             }
+            case 5 -> new Recall(in.i32(), in.i64(), in.i64());
+            case 6 -> new Recalled(in.i64(), in.i32(), in.i64(), in.i64(), in.i64(), in.i64(), in.i64(), in.i64(), in.u8() != 0);
             default -> throw in.malformed("no frame is of kind " + kind);
         };
         in.end();
--- /dev/null
+++ b/src/main/java/calicostream/cluster/raft/Recall.java
@@ -0,0 +1,206 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.cluster.raft;
+
+import calicostream.cluster.ClusterException;
+import calicostream.cluster.Frame;
+import calicostream.durable.Amnesia;
+import calicostream.durable.Amnesia.Own;
+import calicostream.durable.Amnesia.Seen;
+import calicostream.durable.Amnesia.Standing;
+import calicostream.durable.Verdict;
+import io.microraft.model.message.RaftMessage;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+
+/**
+ * Whether a voter may say its first word: it asks its peers what they remember of it, and answers when they ask. No I/O but
+ * through its {@link Keeper}, no clock, one thread. It waits for all other voters for some beats and for a majority of them
+ * without end, as it could not be elected by fewer; {@link Amnesia} is the judge. What has forgotten is barred for good under
+ * its generation and says why; it comes back as a learner under the next.
+ */
+public final class Recall {
+    /** Where it stands. */
+    public enum State {
+        /** It neither votes nor acknowledges yet. */
+        ASKING,
+        /** It remembers all that it promised. */
+        VOTES,
+        /** It promised nothing yet, and follows until the group promotes it. */
+        LEARNS,
+        /** It forgot: this generation is over. */
+        FORGOT,
+        /** Another process of its name lives. */
+        REFUSED
+    }
+
+    /** Where what must outlive a crash is kept; each call is on the disk on return. */
+    public interface Keeper {
+        void memory(byte[] memory) throws IOException;
+
+        void bar(String why) throws IOException;
+
+        void admit() throws IOException;
+    }
+
+    /** A frame for a member. */
+    record Send(int member, byte[] frame) {
+    }
+
+    private final Voter self;
+    private final boolean founder;
+    private final Set<Integer> others;
+    private final Set<Integer> asked;
+    private final Own own;
+    private final long nonce;
+    private final int patience;
+    private final Keeper keeper;
+    private final PeerMemory memory;
+    private final Map<String, Seen> told = new TreeMap<>();
+    private final Map<Integer, String> names = new TreeMap<>();
+    private boolean admitted;
+    private State state = State.ASKING;
+    private String reason = "";
+    private int beats;
+
+    /**
+     * @param first the voters that the cluster began with
+     * @param voters as this voter's own log names them
+     * @param memory what it kept of its peers before; null if nothing
+     * @param nonce of this process, drawn at random
+     * @param patience in beats, for voters that don't answer
+     */
+    Recall(Voter self, Collection<Voter> first, Collection<Voter> voters, Own own, byte[] memory, long nonce, int patience, Keeper keeper) {
+        this.self = self;
+        this.founder = first.contains(self);
+        this.others = members(voters);
+        this.asked = members(first);
+        asked.addAll(others);
+        others.remove(self.member());
+        asked.remove(self.member());
+        this.own = own;
+        this.admitted = own.standing() == Standing.ADMITTED;
+        this.memory = memory == null ? new PeerMemory() : PeerMemory.read(memory);
+        this.nonce = nonce;
+        this.patience = patience;
+        this.keeper = keeper;
+    }
+
+    private static Set<Integer> members(Collection<Voter> voters) {
+        return voters.stream().map(Voter::member).collect(Collectors.toCollection(TreeSet::new));
+    }
+
+    public State state() {
+        return state;
+    }
+
+    /** Why it stands so; for operators. */
+    public String reason() {
+        return reason;
+    }
+
+    boolean mayBegin() {
+        return state == State.VOTES || state == State.LEARNS;
+    }
+
+    /** Of a state that is the end of this process's voter; else null. */
+    ClusterException error() {
+        return state == State.FORGOT ? new ClusterException.VoterForgot(self.member(), self.generation(), reason)
+                : state == State.REFUSED ? new ClusterException.VoterStopped(self.member(), reason) : null;
+    }
+
+    /** At each beat: whom to ask (again). Peers that are silent for long are asked seldom. */
+    List<Send> beat() throws IOException {
+        beats++;
+        decide();
+        List<Send> sends = new ArrayList<>();
+        if (error() == null && (beats <= patience || beats % patience == 0)) {
+            byte[] frame = new Frame.Recall(self.generation(), own.incarnation(), nonce).encode();
+            asked.stream().filter(member -> !names.containsKey(member)).forEach(member -> sends.add(new Send(member, frame)));
+        }
+        return sends;
+    }
+
+    /** @param grouped whether this voter's group has committed something */
+    List<Send> received(int from, Frame.Recall ask, boolean grouped) throws IOException {
+        Seen seen = met(new Voter(from, ask.generation()), ask.incarnation(), ask.nonce(), grouped);
+        return List.of(new Send(from, new Frame.Recalled(ask.nonce(), self.generation(), own.incarnation(), nonce, seen.incarnation(),
+                seen.term(), seen.acknowledged(), seen.voteTerm(), seen.grouped()).encode()));
+    }
+
+    void received(int from, Frame.Recalled answer, boolean grouped) throws IOException {
+        if (answer.to() != nonce) {
+            return;
+        }
+        Voter peer = new Voter(from, answer.generation());
+        met(peer, answer.incarnation(), answer.nonce(), grouped);
+        Seen seen = new Seen(answer.seenIncarnation(), answer.term(), answer.acknowledged(), answer.voteTerm(), false, answer.grouped());
+        if (mayBegin()) {
+            // It has spoken since, so of what a late one tells only the incarnation is from before.
+            seen = new Seen(seen.incarnation(), 0, 0, 0, false, false);
+        }
+        names.put(from, peer.toString());
+        told.put(peer.toString(), seen);
+        decide();
+    }
+
+    /** The peer is remembered on the disk before anything rests on its word. */
+    private Seen met(Voter peer, long incarnation, long itsNonce, boolean grouped) throws IOException {
+        Seen seen = memory.met(peer, incarnation, itsNonce, grouped);
+        if (memory.takeChanged()) {
+            keeper.memory(memory.write());
+        }
+        return seen;
+    }
+
+    void heard(RaftMessage message) {
+        memory.heard(message);
+    }
+
+    /** The group has it among its voters, committed: from now on its promises count. */
+    void isVoter() throws IOException {
+        if (!admitted && mayBegin()) {
+            admitted = true;
+            keeper.admit();
+        }
+    }
+
+    private void decide() throws IOException {
+        if (error() != null) {
+            return;
+        }
+        Amnesia.Answer answer = Amnesia.judge(own, founder, named(), told);
+        boolean forgot = Amnesia.hasForgotten(own, told);
+        if (mayBegin() && !forgot) {
+            return;
+        }
+        reason = answer.reason();
+        long heard = others.stream().filter(names::containsKey).count();
+        boolean waited = heard == others.size() || beats >= patience;
+        if (answer.verdict() == Verdict.REFUSE) {
+            state = State.REFUSED;
+        } else if (forgot || answer.verdict() == Verdict.LEARNER && founder) {
+            state = State.FORGOT;
+            keeper.bar(reason);
+        } else if (answer.verdict() == Verdict.VOTER && waited) {
+            if (!admitted) {
+                admitted = true;
+                keeper.admit();
+            }
+            state = State.VOTES;
+        } else if (answer.verdict() == Verdict.LEARNER && waited && heard >= (others.size() + 1) / 2) {
+            state = State.LEARNS;
+        }
+    }
+
+    /** The other voters, by the name under which each answered. */
+    private Set<String> named() {
+        return others.stream().map(member -> names.getOrDefault(member, member + ".?")).collect(Collectors.toCollection(TreeSet::new));
+    }
+}
--- a/src/main/java/calicostream/cluster/raft/StoreOnLog.java
+++ b/src/main/java/calicostream/cluster/raft/StoreOnLog.java
@@ -4,6 +4,8 @@
 import calicostream.cluster.Bytes;
 import calicostream.durable.DurableLog;
 import calicostream.durable.Recovered;
+import io.microraft.RaftEndpoint;
+import io.microraft.model.groupop.UpdateRaftGroupMembersOp;
 import io.microraft.model.log.LogEntry;
 import io.microraft.model.log.RaftGroupMembersView;
 import io.microraft.model.log.SnapshotChunk;
@@ -13,6 +15,7 @@
 import io.microraft.persistence.RestoredRaftState;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 
@@ -20,9 +23,10 @@
  * The library's store over a {@link DurableLog}; one thread, no state of its own. Every call that the library says is to
  * be flushed syncs before it returns.
  */
-public final class StoreOnLog implements RaftStore {
+public final class StoreOnLog implements RaftStore, Recall.Keeper {
     private static final String SELF = "self";
     private static final String FIRST = "first-voters";
+    private static final String PEERS = "peers";
 
     private final DurableLog log;
 
@@ -54,6 +58,44 @@
         return Optional.of(new RestoredRaftState(me, Codec.view(first), term, snapshot, entries));
     }
 
+    /**
+     * Asks the peers of the voter that this log is of before it says its first word; for {@link VoterNode#start(Recall)}.
+     *
+     * @param nonce drawn at random for this process
+     * @param patience in heartbeats, for voters that don't answer
+     */
+    public Recall recall(Voter self, List<Voter> first, long nonce, int patience) {
+        Recovered found = log.recovered();
+        Collection<RaftEndpoint> voters = new ArrayList<>(first);
+        Optional<RestoredRaftState> restored = restored(found);
+        if (restored.isPresent()) {
+            RestoredRaftState state = restored.get();
+            voters = state.getSnapshotEntry() != null && state.getSnapshotEntry().getGroupMembersView() != null
+                    ? state.getSnapshotEntry().getGroupMembersView().getVotingMembers() : state.getInitialGroupMembers().getVotingMembers();
+            for (LogEntry entry : state.getLogEntries()) {
+                voters = entry.getOperation() instanceof UpdateRaftGroupMembersOp op ? op.getVotingMembers() : voters;
+            }
+        }
+        return new Recall(self, first, voters.stream().map(Voter.class::cast).toList(), found.own(), found.notes().get(PEERS), nonce,
+                patience, this);
+    }
+
+    @Override
+    public void memory(byte[] memory) throws IOException {
+        log.saveNote(PEERS, memory);
+        log.sync();
+    }
+
+    @Override
+    public void bar(String why) throws IOException {
+        log.bar(why);
+    }
+
+    @Override
+    public void admit() throws IOException {
+        log.admit();
+    }
+
     private static Voter voted(String name) {
         if (name.isEmpty()) {
             return null;
--- a/src/main/java/calicostream/cluster/raft/VoterNode.java
+++ b/src/main/java/calicostream/cluster/raft/VoterNode.java
@@ -11,7 +11,6 @@
 import calicostream.cluster.Replicated;
 import calicostream.cluster.SessionKeeper;
 import calicostream.cluster.Timekeeper;
-import io.microraft.Ordered;
 import io.microraft.QueryPolicy;
 import io.microraft.RaftConfig;
 import io.microraft.RaftEndpoint;
@@ -31,7 +30,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -71,6 +69,9 @@
     private final RaftNode raft;
     private final Consumer<Throwable> failed;
     private boolean stopped;
+    private final boolean wasRestored;
+    private FirstWord firstWord; // null where nobody is asked
+    private boolean begun;
     private long toldEra;
     private int proposed;
     private long freshSince;
@@ -107,11 +108,11 @@
                         .setTransferSnapshotsFromFollowersEnabled(false).build())
                 .setExecutor(pace).setClock(pace).setRandom(random).setStore(new FailingStore(store, this::fail))
                 .setStateMachine(stepper).setTransport(new Sender()).setModelFactory(Codec.MODEL);
+        wasRestored = restored.isPresent() && !restored.get().getLogEntries().isEmpty();
         if (restored.isPresent()) {
             builder.setRestoredState(restored.get());
         } else {
-            List<RaftEndpoint> first = new ArrayList<>(settings.first);
-            builder.setLocalEndpoint(settings.self).setInitialGroupMembers(first);
+            builder.setLocalEndpoint(settings.self).setInitialGroupMembers(new ArrayList<RaftEndpoint>(settings.first));
         }
         this.raft = builder.build();
         this.changes = new VoterChanges(raft, settings.self, state, (entry, reply) -> propose(entry.encode(), reply), this::notLeading);
@@ -141,11 +142,28 @@
         return raft.getEffectiveMembers().getVotingMembers().contains(settings.self);
     }
 
+    /** Speaks at once; for who knows that nothing was forgotten. */
     public void start() {
+        begun = true;
         raft.start();
         beat();
     }
 
+    /**
+     * Asks peers first what they remember of this voter: silent until {@code first} lets it speak, or stops it for good.
+     */
+    public void start(Recall first) {
+        firstWord = new FirstWord(settings.self, first, reactor, links, settings.heartbeatMillis * 1_000_000L, new FirstWord.Hooks(
+                this::isStopped, () -> wasRestored || state.applied() > 0,
+                () -> state.applied() > 0 && voters().contains(settings.self), this::start, this::fail));
+        firstWord.beat();
+    }
+
+    /** Where this voter stands before its first word; empty if it was started without asking. */
+    public Optional<Recall> recall() {
+        return Optional.ofNullable(firstWord).map(FirstWord::recall);
+    }
+
     /** Silent from now on; what was proposed may still be decided by the others. */
     public void stop() {
         if (!stopped) {
@@ -286,10 +304,20 @@
             return;
         }
         Frame frame = Frame.decode(bytes);
+        if (firstWord != null) {
+            firstWord.received(from, frame);
+        }
+        if (begun) {
+            received(from, frame);
+        }
+    }
+
+    private void received(int from, Frame frame) {
         if (frame instanceof Frame.Raft message) {
             RaftMessage decoded = Codec.message(message.message());
             if (((Voter) decoded.getSender()).member() == from && message.generation() == settings.self.generation()) {
                 silence.heard(decoded);
+                recall().ifPresent(recall -> recall.heard(decoded));
                 raft.handle(decoded);
             }
         } else if (frame instanceof Frame.Request request) {
@@ -339,8 +367,7 @@
             return;
         }
         proposed++;
-        CompletableFuture<Ordered<Outcome>> decided = raft.replicate(entry);
-        decided.whenComplete((ok, error) -> {
+        raft.<Outcome>replicate(entry).whenComplete((ok, error) -> {
             proposed--;
             reply.accept(error == null ? ok.getResult() : failure(error));
         });
@@ -351,9 +378,7 @@
             reply.accept(Outcome.failed(0, ClusterException.UnknownMachine.CODE));
             return;
         }
-        CompletableFuture<Ordered<Outcome>> answered =
-                raft.query(question, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty());
-        answered.whenComplete((ok, error) -> reply.accept(error == null ? ok.getResult() : failure(error)));
+        raft.<Outcome>query(question, QueryPolicy.LINEARIZABLE, Optional.empty(), Optional.empty()).whenComplete((ok, error) -> reply.accept(error == null ? ok.getResult() : failure(error)));
     }
 
     private Outcome failure(Throwable error) {
--- a/src/main/java/calicostream/durable/Amnesia.java
+++ b/src/main/java/calicostream/durable/Amnesia.java
@@ -73,6 +73,12 @@
                 : new Answer(Verdict.WAIT, "a new group needs all its first voters: heard " + heard + " of " + others.size());
     }
 
+    /** Whether own marks or a peer say so; a member that merely was not admitted yet has forgotten nothing. */
+    public static boolean hasForgotten(Own own, Map<String, Seen> told) {
+        return own.doubt() != Doubt.NONE || own.standing() == Standing.BARRED
+                || told.entrySet().stream().anyMatch(peer -> forgotten(own, peer.getKey(), peer.getValue()) != null);
+    }
+
     private static String forgotten(Own own, String peer, Seen seen) {
         if (seen.incarnation() >= own.incarnation())
             return peer + " has seen incarnation " + seen.incarnation() + ", this is " + own.incarnation();
--- a/src/test/java/calicostream/cluster/sim/SimMain.java
+++ b/src/measure/java/calicostream/cluster/sim/SimMain.java
@@ -34,7 +34,7 @@
         System.out.println("runs " + count + " bad " + bad.size() + " steps " + sum(results, SimCluster.Result::steps)
                 + " acknowledged " + sum(results, SimCluster.Result::acknowledged) + " terms "
                 + sum(results, SimCluster.Result::eras) + " expired " + sum(results, SimCluster.Result::expired)
-                + " changes " + sum(results, SimCluster.Result::changes) + " refused " + sum(results, SimCluster.Result::refused) + " restored " + sum(results, SimCluster.Result::restored)
+                + " changes " + sum(results, SimCluster.Result::changes) + " refused " + sum(results, SimCluster.Result::refused) + " noticed " + sum(results, SimCluster.Result::noticed) + " restored " + sum(results, SimCluster.Result::restored)
                 + " faults " + faults + " hash " + results.stream().mapToLong(SimCluster.Result::hash).sum()
                 + " s " + (System.nanoTime() - began) / 1_000_000 / 1000.0);
     }
--- a/src/test/java/calicostream/cluster/sim/World.java
+++ b/src/measure/java/calicostream/cluster/sim/World.java
@@ -91,6 +91,11 @@
             ppm = partsPerMillion;
         }
 
+        /** Its clock jumps ahead, as if it had been stopped; back is what a monotonic clock promises not to go. */
+        void step(long nanos) {
+            base += nanos;
+        }
+
         @Override
         public long nanos() {
             long passed = now - since;
--- a/src/test/java/calicostream/cluster/sim/ClusterSimTest.java
+++ b/src/test/java/calicostream/cluster/sim/ClusterSimTest.java
@@ -38,6 +38,7 @@
         assertEquals(EnumSet.allOf(Faults.Kind.class), faults.keySet());
         assertTrue(results.stream().mapToInt(SimCluster.Result::expired).sum() > 0, "sessions expired");
         assertTrue(results.stream().mapToInt(SimCluster.Result::changes).sum() > 0, "voters changed");
+        assertTrue(results.stream().mapToInt(SimCluster.Result::noticed).sum() > 0, "lies of disks noticed");
         assertTrue(results.stream().mapToInt(SimCluster.Result::restored).sum() > 0, "snapshots restored");
         assertTrue(results.stream().mapToLong(SimCluster.Result::acknowledged).min().orElse(0) > 0, "commands acknowledged");
     }
