--- a/src/main/java/calicostream/cluster/process/Member.java
+++ b/src/main/java/calicostream/cluster/process/Member.java
@@ -21,11 +21,9 @@
 import calicostream.durable.DurableException;
 import calicostream.durable.DurableLog;
 import calicostream.net.Loop;
-import io.microraft.RaftEndpoint;
 import java.io.IOException;
 import java.security.SecureRandom;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -182,7 +180,6 @@
             if (stop == null) {
                 stop = new PlannedStop(reactor.nanos(), GRACE, LAST_WORDS);
                 layers.forEach(layer -> guarded(layer, Layer::stopping));
-                tick();
             }
         });
     }
@@ -311,7 +308,7 @@
 
     /** Takes the next step of what operators wish. */
     private void granted(long now) {
-        if (wish == null || !wish.isDue(now, voter.leads(), voter.leader(), voters(voter.voters()), learners())) {
+        if (wish == null || !wish.isDue(now, voter.leads(), voter.leader(), Group.of(voter))) {
             return;
         }
         WishRun run = wish;
@@ -334,7 +331,7 @@
                 flush(now);
                 closed = true;
             }
-            case HAND_OVER -> voters(voter.voters()).stream().filter(each -> each.member() == stop.to()).findFirst()
+            case HAND_OVER -> Group.of(voter).voters().stream().filter(each -> each.member() == stop.to()).findFirst()
                     .ifPresent(voter::handOver);
             case END -> {
                 end();
@@ -365,9 +362,8 @@
 
     private Signs look(long now) {
         var disk = log.status();
-        List<Voter> voters = voter == null ? List.of() : voters(voter.voters());
-        List<Voter> learners = voter == null ? List.of() : learners();
-        Standing standing = Standing.of(stop != null, failure, start, voter != null && voter.isStopped(), self, voters, learners,
+        Group group = Group.of(voter);
+        Standing standing = Standing.of(stop != null, failure, start, voter != null && voter.isStopped(), self, group,
                 voter == null ? 0 : voter.leader(), session.isAlive(now), voter == null ? 0 : voter.ageNanos().orElse(0L),
                 Standing.silenceNanos(config));
         long limit = standing.follows() ? Standing.doubtNanos(config) : Standing.silenceNanos(config);
@@ -375,23 +371,13 @@
         Map<String, String> figures = new TreeMap<>();
         layers.forEach(layer -> guarded(layer, each -> figures.put(each.name(), each.figures())));
         return new Signs(standing.state(), standing.why(), self, leader, voter != null && voter.leads(), voter == null ? 0 : voter.term(), state.era(),
-                state.applied(), voters, learners, quorum.missingMillis(now, limit),
+                state.applied(), group.voters(), group.learners(), quorum.missingMillis(now, limit),
                 voter == null ? -1 : voter.ageNanos().map(age -> age / MILLI).orElse(-1L), voter == null ? 0 : voter.proposed(),
                 session.waiting(), session.session(), session.isAlive(now),
                 session.session() == 0 ? 0 : (now - sessionSince) / MILLI, disk, (now - disk.sinceNanos()) / MILLI,
                 links.figures(), wish == null ? "" : wish.words(), Map.copyOf(figures));
     }
 
-    private List<Voter> learners() {
-        List<Voter> all = new ArrayList<>(voters(voter.votersAndLearners()));
-        all.removeAll(voters(voter.voters()));
-        return List.copyOf(all);
-    }
-
-    private static List<Voter> voters(Collection<RaftEndpoint> endpoints) {
-        return endpoints.stream().map(Voter.class::cast).sorted(Comparator.comparingInt(Voter::member)).toList();
-    }
-
     private void guarded(Layer layer, Consumer<Layer> call) {
         try {
             call.accept(layer);
--- a/src/main/java/calicostream/cluster/process/PlannedStop.java
+++ b/src/main/java/calicostream/cluster/process/PlannedStop.java
@@ -14,7 +14,7 @@
 
     private enum Phase { ANSWERS, SESSION, LEAD, LAST_WORDS }
 
-    private static final int TRIES = 4; // of a hand-over, each to another voter
+    private static final int TRIES = 4; // of a hand-over in half of the time, each to another voter
 
     private final long sinceNanos;
     private final long graceNanos;
--- a/src/main/java/calicostream/cluster/process/Standing.java
+++ b/src/main/java/calicostream/cluster/process/Standing.java
@@ -3,18 +3,17 @@
 
 import calicostream.cluster.config.ClusterConfig;
 import calicostream.cluster.raft.Voter;
-import java.util.List;
 
 /** Where a member stands, of what is known at one moment; pure. */
 record Standing(Signs.State state, String why) {
     /**
      * @param failure why the voter stopped by itself; empty if it did not
      * @param voterEnded the library ended it, since its own log says that it was removed
-     * @param voters and learners as its own copy has them
+     * @param group as its own copy has it
      * @param copyAgeNanos how old that copy is at most; 0 where nobody vouched for it yet
      */
-    static Standing of(boolean stopping, String failure, Start start, boolean voterEnded, Voter self, List<Voter> voters,
-            List<Voter> learners, int leader, boolean sessionAlive, long copyAgeNanos, long silenceNanos) {
+    static Standing of(boolean stopping, String failure, Start start, boolean voterEnded, Voter self, Group group,
+            int leader, boolean sessionAlive, long copyAgeNanos, long silenceNanos) {
         if (stopping) {
             return new Standing(Signs.State.STOPPING, "");
         } else if (!failure.isEmpty()) {
@@ -23,13 +22,13 @@
             return new Standing(Signs.State.BARRED, start.why());
         } else if (voterEnded) {
             return new Standing(Signs.State.REMOVED, "");
-        } else if (!voters.contains(self) && !learners.contains(self)) {
+        } else if (!group.voters().contains(self) && !group.learners().contains(self)) {
             return new Standing(Signs.State.SPARE, "");
         } else if (leader == 0 && sessionAlive && copyAgeNanos > 2 * silenceNanos) {
             return new Standing(Signs.State.BEHIND,
                     "its copy hears of no leader, its session does: removed, or its link from the leader is cut");
         }
-        return new Standing(voters.contains(self) ? Signs.State.VOTER : Signs.State.LEARNER, "");
+        return new Standing(group.voters().contains(self) ? Signs.State.VOTER : Signs.State.LEARNER, "");
     }
 
     /** Whether there is a copy that follows the leader. */
--- a/src/main/java/calicostream/cluster/process/WishRun.java
+++ b/src/main/java/calicostream/cluster/process/WishRun.java
@@ -1,9 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 package calicostream.cluster.process;
 
-import calicostream.cluster.raft.Voter;
-import java.util.List;
-
 /**
  * A wish of operators on its way: when the next step is due, and when it is over. It is one leader's; who leads next knows
  * nothing of it, and what is reached by then stays. Pure, one thread, monotonic nanoseconds.
@@ -36,12 +33,12 @@
     }
 
     /** Whether a step is to be taken now; its end is to be told, unless it is a hand-over, which has none. */
-    boolean isDue(long nowNanos, boolean leads, int leader, List<Voter> voters, List<Voter> learners) {
+    boolean isDue(long nowNanos, boolean leads, int leader, Group group) {
         if (isOver()) {
             return false;
         }
-        if (wish instanceof Wish.Voters change && voters.size() == change.wanted().size() && voters.containsAll(change.wanted())
-                && learners.isEmpty() || wish instanceof Wish.Lead lead && leader == lead.to().member()) {
+        if (wish instanceof Wish.Voters change && group.voters().size() == change.wanted().size()
+                && group.voters().containsAll(change.wanted()) && group.learners().isEmpty() || wish instanceof Wish.Lead lead && leader == lead.to().member()) {
             end = "done";
         } else if (!leads && leader != 0) {
             end = "member " + leader + " leads now: see what holds there, and say it there again";
--- a/src/test/java/calicostream/cluster/process/MemberProcess.java
+++ b/src/test/java/calicostream/cluster/process/MemberProcess.java
@@ -31,6 +31,11 @@
     private final CompletableFuture<Integer> front = new CompletableFuture<>();
     private final Thread reader;
 
+    /** Without engines behind its front end. */
+    MemberProcess(Path folder, int changelogPort, String cluster, String... options) throws IOException {
+        this(folder, changelogPort, List.of(), cluster, options);
+    }
+
     /** @param options of the virtual machine */
     MemberProcess(Path folder, int changelogPort, List<String> engines, String cluster, String... options) throws IOException {
         Files.createDirectories(folder);
