Leaders count time in looks: a clock that jumps ahead ends no lease early

Sessions were guarded against it, the timekeepers of machines were not. Change: CountedTime lets no more than the period of looks count of any span between two, and VoterNode tells timekeepers that time alone.

--- a/src/main/java/calicostream/cluster/Timekeeper.java
+++ b/src/main/java/calicostream/cluster/Timekeeper.java
@@ -16,7 +16,8 @@
     /**
      * Called at least every {@code period} of the node while this process leads.
      *
-     * @param nowNanos of a monotonic clock of this process that may drift by 500 ppm; differences alone mean something
+     * @param nowNanos as {@link CountedTime} counts by a monotonic clock of this process that may drift by 500 ppm; differences
+     *     alone mean something
      * @return bodies of commands to propose, oldest need first; may repeat what was proposed and is not yet applied
      */
     List<byte[]> due(long nowNanos);
--- a/src/main/java/calicostream/cluster/raft/VoterNode.java
+++ b/src/main/java/calicostream/cluster/raft/VoterNode.java
@@ -2,6 +2,7 @@
 package calicostream.cluster.raft;
 
 import calicostream.cluster.ClusterException;
+import calicostream.cluster.CountedTime;
 import calicostream.cluster.Command;
 import calicostream.cluster.Entry;
 import calicostream.cluster.Frame;
@@ -63,6 +64,7 @@
     private final Replicated state;
     private final Map<String, Timekeeper> timekeepers;
     private final SessionKeeper keeper;
+    private final CountedTime counted;
     private final Stepper stepper;
     private final LeaderSilence silence;
     private final VoterChanges changes;
@@ -94,6 +96,7 @@
         this.timekeepers = timekeepers;
         this.failed = failed;
         this.keeper = new SessionKeeper(state, settings.heartbeatMillis * 1_000_000L);
+        this.counted = new CountedTime(settings.heartbeatMillis * 1_000_000L);
         this.stepper = new Stepper(settings.self.member(), state, random, this::fail);
         this.silence = new LeaderSilence(settings.self, 3 * settings.missed);
         this.nextId = random.nextLong();
@@ -268,16 +271,17 @@
             raft.handle(message);
         });
         long now = reactor.nanos();
+        long span = counted.look(now);
         if (leads()) {
             if (toldEra != state.era()) {
                 toldEra = state.era();
-                timekeepers.values().forEach(timekeeper -> timekeeper.eraBegan(toldEra, now));
+                timekeepers.values().forEach(timekeeper -> timekeeper.eraBegan(toldEra, span));
             }
             for (Entry.Expire expire : keeper.due(now)) {
                 propose(expire.encode(), outcome -> { });
             }
             timekeepers.forEach((name, timekeeper) -> {
-                for (byte[] body : timekeeper.due(now)) {
+                for (byte[] body : timekeeper.due(span)) {
                     propose(new Entry.Timed(state.era(), name, body).encode(), outcome -> { });
                 }
             });
