--- a/src/main/java/calicostream/cluster/raft/FailingStore.java
+++ b/src/main/java/calicostream/cluster/raft/FailingStore.java
@@ -22,10 +22,13 @@
 
     private final RaftStore store;
     private final Consumer<Throwable> failed;
+    private final LogTerms terms;
     private IOException failure;
 
-    FailingStore(RaftStore store, Consumer<Throwable> failed) {
+    /** @param terms follows what is in the log */
+    FailingStore(RaftStore store, LogTerms terms, Consumer<Throwable> failed) {
         this.store = store;
+        this.terms = terms;
         this.failed = failed;
     }
 
@@ -64,6 +67,7 @@
     @Override
     public void persistLogEntries(List<LogEntry> entries) throws IOException {
         call(() -> store.persistLogEntries(entries));
+        terms.append(entries);
     }
 
     @Override
@@ -74,11 +78,13 @@
     @Override
     public void truncateLogEntriesFrom(long index) throws IOException {
         call(() -> store.truncateLogEntriesFrom(index));
+        terms.truncateFrom(index);
     }
 
     @Override
     public void truncateLogEntriesUntil(long index) throws IOException {
         call(() -> store.truncateLogEntriesUntil(index));
+        terms.truncateUntil(index);
     }
 
     @Override
--- a/src/main/java/calicostream/cluster/raft/VoterNode.java
+++ b/src/main/java/calicostream/cluster/raft/VoterNode.java
@@ -68,6 +68,7 @@
     private final Stepper stepper;
     private final LeaderSilence silence;
     private final VoterChanges changes;
+    private final LogTerms terms = new LogTerms();
     private final RaftNode raft;
     private final Consumer<Throwable> failed;
     private boolean stopped;
@@ -109,9 +110,10 @@
                         .setCommitCountToTakeSnapshot(settings.snapshotEvery)
                         .setMaxPendingLogEntryCount(Math.max(2 * settings.queue, 128))
                         .setTransferSnapshotsFromFollowersEnabled(false).build())
-                .setExecutor(pace).setClock(pace).setRandom(random).setStore(new FailingStore(store, this::fail))
+                .setExecutor(pace).setClock(pace).setRandom(random).setStore(new FailingStore(store, terms, this::fail))
                 .setStateMachine(stepper).setTransport(new Sender()).setModelFactory(Codec.MODEL);
         wasRestored = restored.isPresent() && !restored.get().getLogEntries().isEmpty();
+        restored.ifPresent(found -> terms.append(found.getLogEntries()));
         if (restored.isPresent()) {
             builder.setRestoredState(restored.get());
         } else {
@@ -308,9 +310,7 @@
             return;
         }
         Frame frame = Frame.decode(bytes);
-        if (firstWord != null) {
-            firstWord.received(from, frame);
-        }
+        Optional.ofNullable(firstWord).ifPresent(word -> word.received(from, frame));
         if (begun) {
             received(from, frame);
         }
@@ -322,7 +322,7 @@
             if (((Voter) decoded.getSender()).member() == from && message.generation() == settings.self.generation()) {
                 silence.heard(decoded);
                 recall().ifPresent(recall -> recall.heard(decoded));
-                raft.handle(decoded);
+                raft.handle(terms.trim(decoded, state.applied()));
             }
         } else if (frame instanceof Frame.Request request) {
             Consumer<Outcome> reply = outcome -> {
@@ -396,8 +396,7 @@
 
     @Override
     public String toString() {
-        return "voter " + settings.self + " " + raft.getStatus() + (stopped ? " stopped" : "") + " term " + term() + " leader "
-                + raft.getTerm().getLeaderEndpoint() + " applied " + state.applied() + " era " + state.era() + " voters " + voters()
-                + " of " + votersAndLearners();
+        return "voter " + settings.self + " " + raft.getStatus() + (stopped ? " stopped" : "") + " " + raft.getTerm() + " applied "
+                + state.applied() + " era " + state.era() + " voters " + voters() + " of " + votersAndLearners();
     }
 }
--- a/src/test/java/calicostream/cluster/raft/CodecTest.java
+++ b/src/test/java/calicostream/cluster/raft/CodecTest.java
@@ -103,6 +103,29 @@
         }
     }
 
+    @Test
+    void anAppendBeginsAfterWhatTheLogHas() {
+        LogTerms terms = new LogTerms();
+        List<LogEntry> sent = new ArrayList<>();
+        for (long index = 81; index <= 86; index++) {
+            sent.add(Codec.MODEL.createLogEntryBuilder().setIndex(index).setTerm(index < 85 ? 1 : 2).setOperation(new byte[1]).build());
+        }
+        var append = Codec.MODEL.createAppendEntriesRequestBuilder().setGroupId(Codec.GROUP).setSender(TWO).setTerm(2).setPreviousLogTerm(1)
+                .setPreviousLogIndex(80).setCommitIndex(84).setLogEntries(sent).setQuerySequenceNumber(8).setFlowControlSequenceNumber(9).build();
+        assertEquals(append, terms.trim(append, 80), "nothing of it is here");
+        terms.append(sent.subList(0, 3));
+        var trimmed = (io.microraft.model.message.AppendEntriesRequest) terms.trim(append, 80);
+        assertEquals(List.of(83L, 3, 84L), List.of(trimmed.getPreviousLogIndex(), trimmed.getLogEntries().size(), trimmed.getLogEntries().get(0).getIndex()));
+        assertEquals(9, trimmed.getFlowControlSequenceNumber());
+        terms.truncateFrom(82);
+        assertEquals(81, ((io.microraft.model.message.AppendEntriesRequest) terms.trim(append, 80)).getPreviousLogIndex());
+        terms.truncateUntil(81);
+        assertEquals(append, terms.trim(append, 80));
+        assertEquals(84, ((io.microraft.model.message.AppendEntriesRequest) terms.trim(append, 84)).getPreviousLogIndex(), "what was applied is the same");
+        terms.append(List.of(Codec.MODEL.createLogEntryBuilder().setIndex(80).setTerm(1).setOperation(new byte[1]).build()));
+        assertEquals(append, terms.trim(append, 84), "the library can compare by itself");
+    }
+
     /** Time goes on from task to task. */
     private static final class Steps implements Reactor {
         private record Task(long at, Runnable run) {
--- a/src/test/java/calicostream/cluster/sim/ClusterSimTest.java
+++ b/src/test/java/calicostream/cluster/sim/ClusterSimTest.java
@@ -61,9 +61,10 @@
         }
     }
 
-    /** Runs that once ended without a leader, by an open pre-vote, by frames for a former self, by who was promoted unheard, by who came back under a removed name. */
+    /** Runs that once ended without a leader, by an open pre-vote, by frames for a former self, by who was promoted unheard, by who came back under a removed name,
+     *  by appends that a follower behind a snapshot refused for ever. */
     @ParameterizedTest
-    @ValueSource(longs = {300_008, 300_072, 300_107, 320_023})
+    @ValueSource(longs = {300_008, 300_072, 300_107, 320_023, 1_080})
     void aRunThatOnceFailedEndsWithALeader(long seed) {
         assertEquals("", SimCluster.run(seed, SimCluster.none()).fault());
     }
