Cluster: a member's descriptors come out of the front end's limit

limits.sockets was shared out among clients and engines alone, so a member's files and links could have taken the process over it: 24 and 3 a listed peer are set aside now. A voter takes two connections of each peer that it knows, 64 at least, where 64 was the most.

--- a/src/main/java/calicostream/cluster/process/Member.java
+++ b/src/main/java/calicostream/cluster/process/Member.java
@@ -143,6 +143,11 @@
         return member;
     }
 
+    /** How many descriptors it takes at most: files of both folders, its address, and links each way, also to be replaced. */
+    public static int descriptors(ClusterConfig config) {
+        return 24 + 3 * config.peers().size();
+    }
+
     /** The signs as a JSON object; as of some moments ago. */
     public String signs() {
         return SignsJson.of(config, signs);
--- a/src/main/java/calicostream/cluster/tcp/TcpLinks.java
+++ b/src/main/java/calicostream/cluster/tcp/TcpLinks.java
@@ -28,7 +28,7 @@
 public final class TcpLinks implements Links {
     private static final Logger LOG = LoggerFactory.getLogger(TcpLinks.class);
     private static final int ROOM = MAX_FRAME + (1 << 20);
-    private static final int MOST_OPEN = 64;
+    private static final int LEAST_OPEN = 64; // that may connect; where there are more peers, each and one in its place
     private static final long STUCK_NANOS = 2_000_000_000L;
     private static final long AGAIN_NANOS = 100_000_000L;
 
@@ -61,7 +61,7 @@
         this.self = self;
         this.peers = new HashMap<>(peers);
         this.receiver = receiver;
-        this.listener = Listener.urgent(loop, at, MOST_OPEN, new Listener.Taker() {
+        this.listener = Listener.urgent(loop, at, Math.max(LEAST_OPEN, 2 * peers.size()), new Listener.Taker() {
             @Override
             public void accepted(SocketChannel channel) throws IOException {
                 In in = new In();
--- a/src/main/java/calicostream/daemon/ClusterPart.java
+++ b/src/main/java/calicostream/daemon/ClusterPart.java
@@ -67,6 +67,11 @@
         member = Member.start(config, layers);
     }
 
+    /** How many the member takes at most. */
+    int descriptors() {
+        return Member.descriptors(config);
+    }
+
     @Override
     public String name() {
         return "cluster";
--- a/src/main/java/calicostream/daemon/Composition.java
+++ b/src/main/java/calicostream/daemon/Composition.java
@@ -41,6 +41,9 @@
         SyslogConfig syslogConfig = syslog(deploy.resolve("syslog.json"));
         ClusterPart cluster = clusterFile == null ? null : ClusterPart.read(clusterFile);
         Descriptors descriptors = Descriptors.of(config.sockets()); // Counts what is open: before anything else is.
+        if (cluster != null) {
+            descriptors = descriptors.beside(config.sockets(), cluster.descriptors());
+        }
         Loop loop = new Loop(new Clock(), new Deadlines());
         SettingsParser settings = config.settings();
         FlightPart flight = flightConfig == null ? null : new FlightPart(loop, settings, flightConfig);
--- a/src/main/java/calicostream/platform/Descriptors.java
+++ b/src/main/java/calicostream/platform/Descriptors.java
@@ -20,6 +20,11 @@
         return of(limit, open == null ? UNTOLD : open.length + LATER);
     }
 
+    /** Where another part of the process takes so many more. */
+    public Descriptors beside(int limit, int more) {
+        return of(limit, own + more);
+    }
+
     static Descriptors of(int limit, int own) {
         int clients = Math.max(4, Math.min(limit * 2 / 5, limit - own - SPARE - 4));
         return new Descriptors(clients, Math.max(4, limit - own - SPARE - clients), own);
