Cluster: a voter asks its peers before its first word; closed sessions stay closed

The process still started its voter at once, so a whole folder of last week, or a lost one, voted anew where its marks lay beside its log. VoterNode.start(Recall) is used now: such a member is barred and says why, and is asking until a majority told what they remember. Closing a session sent the opening of a new one. MemberTest (older folder, empty folder, both with marks beside the log), MemberProcessTest, DecisionsTest, TcpClusterTest and ClusterSimTest pass.

--- a/src/main/java/calicostream/cluster/MemberSession.java
+++ b/src/main/java/calicostream/cluster/MemberSession.java
@@ -53,6 +53,7 @@
     private Attempt attempt;
     private boolean redirected;
     private long lastHeard;
+    private boolean closed;
 
     /** @param mark unlike that of any other process of this member, ever; request ids and nonces start at it */
     public MemberSession(Settings settings, List<Integer> voters, long mark) {
@@ -106,6 +107,7 @@
 
     /** Gives the session back; nothing may be run after this. */
     public void close() {
+        closed = true;
         if (session != 0) {
             out.add(new Send(voter(), new Frame.Request(nextId++, Frame.Ask.ENTRY, "",
                     new Entry.Close(session).encode()).encode()));
@@ -124,7 +126,7 @@
             turn += redirected ? 0 : 1;
             send(attempt.entry, nowNanos);
         }
-        if (attempt == null) {
+        if (attempt == null && !closed) {
             next(nowNanos);
         }
         List<Read> late = new ArrayList<>();
--- a/src/main/java/calicostream/cluster/process/Member.java
+++ b/src/main/java/calicostream/cluster/process/Member.java
@@ -10,6 +10,7 @@
 import calicostream.cluster.Replicated;
 import calicostream.cluster.Timekeeper;
 import calicostream.cluster.config.ClusterConfig;
+import calicostream.cluster.raft.Recall;
 import calicostream.cluster.raft.StoreOnLog;
 import calicostream.cluster.raft.Voter;
 import calicostream.cluster.raft.VoterNode;
@@ -17,7 +18,6 @@
 import calicostream.cluster.tcp.TcpLinks;
 import calicostream.core.Clock;
 import calicostream.core.Deadlines;
-import calicostream.durable.Amnesia;
 import calicostream.durable.DurableException;
 import calicostream.durable.DurableLog;
 import calicostream.net.Loop;
@@ -59,6 +59,8 @@
     private final TcpLinks links;
     private final Replicated state;
     private final Newsroom newsroom;
+    private final List<Voter> first;
+    private final StoreOnLog store;
     private final Start start;
     private final VoterNode voter; // null where the start is barred
     private final MemberSession session;
@@ -68,8 +70,8 @@
     private final long tickNanos;
     private final Thread thread;
     private int heardLeader; // whose answer came last that only a leader gives; 0 if nobody's
-    private boolean admitted;
     private String failure = "";
+    private String barred; // why; empty if it is not
     private long sessionSeen;
     private long sessionSince;
     private long signsAt;
@@ -91,6 +93,7 @@
         log = Folder.open(config, disks);
         boolean open = false;
         try {
+            store = new StoreOnLog(log);
             var restored = StoreOnLog.restored(log.recovered());
             start = Start.of(config.isVoter(), self,
                     restored.map(found -> (Voter) found.getLocalEndpointPersistentState().getLocalEndpoint()), log.recovered().own());
@@ -103,18 +106,18 @@
             });
             state = new Replicated(machines);
             newsroom = new Newsroom(state, self.member());
-            List<Voter> first = config.voters().stream().map(each -> new Voter(each.number(), 0)).toList();
+            first = config.voters().stream().map(each -> new Voter(each.number(), 0)).toList();
             ClusterConfig.Raft raft = config.raft();
             voter = !start.runsVoter() ? null : new VoterNode(new VoterNode.Settings(self, first, (int) raft.heartbeat().toMillis(),
                     raft.missed(), (int) raft.election().toMillis(), raft.queue(), raft.snapshotEvery()), reactor, links,
-                    new StoreOnLog(log), restored, state, timekeepers, new Random(random.nextLong()), this::failed);
+                    store, restored, state, timekeepers, new Random(random.nextLong()), this::failed);
             open = true;
         } finally {
             if (!open) {
                 log.close();
             }
         }
-        admitted = log.recovered().own().standing() != Amnesia.Standing.FRESH;
+        barred = start.runsVoter() ? "" : start.why();
         known = new KnownVoters(config.voters().stream().map(ClusterConfig.Member::number)
                 .filter(each -> start.runsVoter() || each != self.member()).toList());
         session = new MemberSession(new MemberSession.Settings(self.member(), (int) config.session().ttl().toMillis(),
@@ -200,7 +203,7 @@
             tell(null, signs);
             layers.forEach(layer -> guarded(layer, each -> each.joins(session, reactor::nanos)));
             if (voter != null) {
-                voter.start();
+                voter.start(store.recall(self, first, new SecureRandom().nextLong(), 2 * config.raft().missed()));
             }
             tick();
         });
@@ -286,18 +289,9 @@
         Signs next = look(now);
         tell(signs, next);
         signs = next;
-        if (next.state() == Signs.State.VOTER || next.state() == Signs.State.LEARNER) {
-            if (next.applied() > 0 && known.are(next.voters().stream().map(Voter::member).sorted().toList())) {
-                session.voters(known.numbers());
-            }
-            if (next.state() == Signs.State.VOTER && next.applied() > 0 && !admitted) {
-                admitted = true;
-                try {
-                    log.admit();
-                } catch (DurableException e) {
-                    failed(e);
-                }
-            }
+        if ((next.state() == Signs.State.VOTER || next.state() == Signs.State.LEARNER) && next.applied() > 0
+                && known.are(next.voters().stream().map(Voter::member).sorted().toList())) {
+            session.voters(known.numbers());
         }
     }
 
@@ -357,6 +351,10 @@
 
     /** The voter stopped by itself; the session goes on by the others. */
     private void failed(Throwable why) {
+        if (why instanceof ClusterException.VoterForgot) {
+            barred = why.getMessage();
+            return;
+        }
         boolean named = why instanceof DurableException || why instanceof ClusterException;
         failure = named ? why.getMessage() : new ClusterException.VoterStopped(self.member(), why.toString()).getMessage();
         signsAt = reactor.nanos();
@@ -365,10 +363,14 @@
         }
     }
 
+    private boolean isAsking() {
+        return voter != null && voter.recall().map(recall -> recall.state() == Recall.State.ASKING).orElse(true);
+    }
+
     private Signs look(long now) {
         var disk = log.status();
         Group group = Group.of(voter);
-        Standing standing = Standing.of(stop != null, failure, start, voter != null && voter.isStopped(), self, group,
+        Standing standing = Standing.of(stop != null, failure, barred, voter != null && voter.isStopped(), isAsking(), self, group,
                 voter == null ? 0 : voter.leader(), session.isAlive(now), voter == null ? 0 : voter.ageNanos().orElse(0L),
                 Standing.silenceNanos(config));
         long limit = standing.follows() ? Standing.doubtNanos(config) : Standing.silenceNanos(config);
--- a/src/main/java/calicostream/cluster/process/Signs.java
+++ b/src/main/java/calicostream/cluster/process/Signs.java
@@ -29,6 +29,8 @@
         Map<String, String> layers) {
     /** Where a member stands in its group. */
     enum State {
+        /** It asks the others what they remember of it, and neither votes nor follows before it knows. */
+        ASKING,
         /** In no group's list of voters and learners: it has its session and may be added. */
         SPARE,
         /** Follows, and does not vote yet. */
--- a/src/main/java/calicostream/cluster/process/Standing.java
+++ b/src/main/java/calicostream/cluster/process/Standing.java
@@ -8,20 +8,24 @@
 record Standing(Signs.State state, String why) {
     /**
      * @param failure why the voter stopped by itself; empty if it did not
+     * @param barred why it must not vote; empty if it may
+     * @param asking whether its voter has not spoken yet
      * @param voterEnded the library ended it, since its own log says that it was removed
      * @param group as its own copy has it
      * @param copyAgeNanos how old that copy is at most; 0 where nobody vouched for it yet
      */
-    static Standing of(boolean stopping, String failure, Start start, boolean voterEnded, Voter self, Group group,
+    static Standing of(boolean stopping, String failure, String barred, boolean voterEnded, boolean asking, Voter self, Group group,
             int leader, boolean sessionAlive, long copyAgeNanos, long silenceNanos) {
         if (stopping) {
             return new Standing(Signs.State.STOPPING, "");
         } else if (!failure.isEmpty()) {
             return new Standing(Signs.State.FAILED, failure);
-        } else if (!start.runsVoter()) {
-            return new Standing(Signs.State.BARRED, start.why());
+        } else if (!barred.isEmpty()) {
+            return new Standing(Signs.State.BARRED, barred);
         } else if (voterEnded) {
             return new Standing(Signs.State.REMOVED, "");
+        } else if (asking) {
+            return new Standing(Signs.State.ASKING, "");
         } else if (!group.voters().contains(self) && !group.learners().contains(self)) {
             return new Standing(Signs.State.SPARE, "");
         } else if (leader == 0 && sessionAlive && copyAgeNanos > 2 * silenceNanos) {
--- a/src/main/java/calicostream/cluster/process/Telling.java
+++ b/src/main/java/calicostream/cluster/process/Telling.java
@@ -19,7 +19,7 @@
             boolean bad = switch (now.state()) {
                 case BARRED, BEHIND, REMOVED, FAILED -> true;
                 case DOWN -> !now.why().isEmpty();
-                case SPARE, LEARNER, VOTER, STOPPING -> false;
+                case ASKING, SPARE, LEARNER, VOTER, STOPPING -> false;
             };
             out.add(new Line(bad, now.self() + " is " + now.state().name().toLowerCase(Locale.ROOT)
                     + (now.why().isEmpty() ? "" : ": " + now.why())));
