--- a/src/main/java/calicostream/Logic.java
+++ b/src/main/java/calicostream/Logic.java
@@ -893,8 +893,10 @@
 
     /** Takes an engine out; for a mere suspicion only while few are out: beyond that it is load. */
     private void bench(long now, Node n, Object why) {
-        boolean sure = why == Outcome.CONNECT_FAILED || why == Outcome.RESET, hint = why == Outcome.CANCELLED;
-        if (hint ? !n.benched : n.benched && now < n.benchedUntil || !sure && benched >= SUSPECTS * nodes.size()) {
+        boolean hint = why == Outcome.CANCELLED; // How others fare moves the next trial alone.
+        boolean sure = hint || why == Outcome.CONNECT_FAILED || why == Outcome.RESET;
+        boolean known = hint ? !n.benched : n.benched && now < n.benchedUntil;
+        if (known || !sure && benched >= SUSPECTS * nodes.size()) {
             return;
         }
         benched += n.benched ? 0 : 1;
