--- a/src/main/java/calicostream/daemon/ClusterPart.java
+++ b/src/main/java/calicostream/daemon/ClusterPart.java
@@ -45,7 +45,7 @@
         if (config == null) {
             return null;
         }
-        LeaseLayer leases = new LeaseLayer(config.leaseTtl());
+        LeaseLayer leases = new LeaseLayer(config.leaseTtl(), file.section("lease").count("tokens_above", 0, 0, Integer.MAX_VALUE));
         List<Layer> layers = layers(config, file, leases);
         file.done();
         return new ClusterPart(config, leases, layers);
--- a/src/main/java/calicostream/lease/LeaseMachine.java
+++ b/src/main/java/calicostream/lease/LeaseMachine.java
@@ -51,7 +51,13 @@
     private long lastToken;
 
     public LeaseMachine() {
+        this(0);
+    }
+
+    /** @param tokensAbove what an earlier log may have given: all tokens of this one are above; the same at every copy, for ever */
+    public LeaseMachine(long tokensAbove) {
         this(Limits.STANDARD);
+        lastToken = tokensAbove;
     }
 
     LeaseMachine(Limits limits) {
--- a/src/main/java/calicostream/lease/process/LeaseLayer.java
+++ b/src/main/java/calicostream/lease/process/LeaseLayer.java
@@ -24,15 +24,20 @@
 public final class LeaseLayer implements Layer {
     private static final Logger LOG = LoggerFactory.getLogger(LeaseLayer.class);
     private static final long MILLI = 1_000_000L;
-    private final LeaseMachine machine = new LeaseMachine();
-    private final LeaderWatch watch = new LeaderWatch(machine);
+    private final LeaseMachine machine;
+    private final LeaderWatch watch;
     private final List<Task> added = new ArrayList<>();
     private final Duration ttl;
     private Tasks tasks;
 
-    /** @param ttl of all leases */
-    public LeaseLayer(Duration ttl) {
+    /**
+     * @param ttl of all leases
+     * @param tokensAbove all tokens are above it: what an earlier group may have given whose log is lost
+     */
+    public LeaseLayer(Duration ttl, long tokensAbove) {
         this.ttl = ttl;
+        machine = new LeaseMachine(tokensAbove);
+        watch = new LeaderWatch(machine);
     }
 
     /** Before the member starts. */
--- a/src/test/java/calicostream/rig/Fleet.java
+++ b/src/test/java/calicostream/rig/Fleet.java
@@ -53,12 +53,16 @@
     private final Map<Integer, Proc> running = new HashMap<>();
     private final Map<Integer, Integer> admins = new HashMap<>();
     private final Map<Integer, Integer> generations = new HashMap<>();
+    private String cluster = "rig";
+    private long tokensAbove;
+    private List<Integer> voters;
     private final List<Proc> all = new ArrayList<>();
 
     Fleet(Path folder, Plan plan, History history, long askEveryMs) throws IOException {
         this.folder = folder;
         this.plan = plan;
         this.history = history;
+        voters = members().subList(0, plan.voters());
         for (int i = 0; i < ENGINES; i++) {
             engines.add(new EngineStand(i, SERVICE_MS, history));
         }
@@ -146,11 +150,11 @@
     }
 
     private String settings(int self) {
-        StringBuilder out = new StringBuilder("enabled = true\n[cluster]\nname = \"rig\"\n[member]\nname = \"m" + self + "\"\ndata = \""
-                + data(self) + "\"\nmarks = \"" + folder.resolve("marks" + self) + "\"\ngeneration = " + generations.getOrDefault(self, 0) + "\n");
+        StringBuilder out = new StringBuilder("enabled = true\n[cluster]\nname = \"" + cluster + "\"\n[member]\nname = \"m" + self + "\"\ndata = \""
+                + data(self) + "\"\nmarks = \"" + marks(self) + "\"\ngeneration = " + generations.getOrDefault(self, 0) + "\n");
         for (int i = 1; i <= plan.members(); i++) {
             InetSocketAddress at = addresses.get(i - 1);
-            out.append(i <= plan.voters() ? "[[voters]]\n" : "[[members]]\n").append("name = \"m").append(i).append("\"\nnumber = ")
+            out.append(voters.contains(i) ? "[[voters]]\n" : "[[members]]\n").append("name = \"m").append(i).append("\"\nnumber = ")
                     .append(i).append("\naddress = \"").append(text(at)).append("\"\n");
         }
         for (int to = 1; to <= plan.members(); to++) {
@@ -158,7 +162,7 @@
                 out.append("[[links]]\nto = \"m").append(to).append("\"\nvia = \"").append(via(self, to)).append("\"\n");
             }
         }
-        return out + plan.settings();
+        return out + plan.settings() + "tokens_above = " + tokensAbove + "\n";
     }
 
     private String via(int from, int to) {
@@ -186,7 +190,20 @@
 
     /** The folder that is this member's alone. */
     Path data(int member) {
-        return folder.resolve("data" + member);
+        return folder.resolve(cluster + "-data" + member);
+    }
+
+    /** The second one, on a device without faults. */
+    Path marks(int member) {
+        return folder.resolve(cluster + "-" + RigDisks.HONEST + member);
+    }
+
+    /** Whoever is started from now on is of a new group with these voters and only tokens above that, and begins with empty folders. */
+    void regroup(String name, List<Integer> first, long above) {
+        cluster = name;
+        tokensAbove = above;
+        voters = first;
+        generations.clear();
     }
 
     /** The member starts as this generation from now on. */
