--- a/src/measure/java/calicostream/rig/ClusterMeasure.java
+++ b/src/measure/java/calicostream/rig/ClusterMeasure.java
@@ -166,6 +166,20 @@
         return lastAct().map(act -> Integer.parseInt(act.who().substring(1))).orElse(1);
     }
 
+    /** Who holds and goes on holding: what was done just before may end a lease by itself, which is no hand-over. */
+    private int steadyHolder() {
+        long from = System.nanoTime();
+        long end = from + 4 * TTL_MS * 1_000_000;
+        int holder = holder();
+        for (long since = from; System.nanoTime() < end && System.nanoTime() - since < TTL_MS * 1_000_000 / 2; Await.pass(5)) {
+            if (holder() != holder || System.nanoTime() - lastAct().map(Act::at).orElse(0L) > TTL_MS * 1_000_000 / 4) {
+                holder = holder();
+                since = System.nanoTime();
+            }
+        }
+        return holder;
+    }
+
     /** Waits for an act by another one, for a bounded time. */
     private void awaitHolder(String other) {
         long end = System.nanoTime() + 4 * TTL_MS * 1_000_000;
@@ -223,8 +237,9 @@
     }
 
     private void killHolder() throws Exception {
-        int holder = victim(holder());
-        boolean held = holder == holder();
+        int wanted = steadyHolder();
+        int holder = victim(wanted);
+        boolean held = holder == wanted;
         killed.addAll(held ? List.of(System.nanoTime()) : List.of());
         twins.kill(holder);
         if (held) {
