--- a/src/measure/java/calicostream/rig/ClusterMeasure.java
+++ b/src/measure/java/calicostream/rig/ClusterMeasure.java
@@ -34,6 +34,10 @@
     private static final int KILLS = 4;
     private static final int LINK_FAULTS = 10;
 
+    private static final int CAP = 14; // sessions that an engine runs at once: two for each process
+    private static final String BUDGETS = "[budget]\nttl = \"1500ms\"\nprocesses = [\"m1\", \"m2\", \"m3\", \"m4\", \"m5\", \"m6\", \"m7\"]\n"
+            + "default = \"all\"\nin_hand = 2\npatience = \"2s\"\n[pools.all]\nengine_cap = " + CAP + "\nfloor = 1\n[tenants.all]\n";
+
     private interface Fault {
         void play() throws Exception;
     }
@@ -44,11 +48,12 @@
     private final Fleet fleet;
     private final Set<String> kinds = new java.util.TreeSet<>();
     private final List<Long> killed = new ArrayList<>();
+    private boolean budgets; // whether this version runs them
     private final Map<String, Fault> faults = new LinkedHashMap<>();
 
     private ClusterMeasure(Path folder, long seed) throws IOException {
         random = new Random(seed);
-        twins = new Twins(folder, Fleet.Plan.of(MEMBERS, VOTERS), TWINNED, ASK_EVERY_MS);
+        twins = new Twins(folder, new Fleet.Plan(MEMBERS, VOTERS, true, Fleet.Plan.QUICK + BUDGETS), TWINNED, ASK_EVERY_MS);
         fleet = twins.on;
         link("cut", LinkFault.CUT);
         link("stall", LinkFault.STALL);
@@ -86,7 +91,7 @@
 
     private String run(long seed) throws Exception {
         twins.startAll();
-        leader();
+        budgets = fleet.signs(leader()).get("layers").asObject().names().contains("budget");
         awaitHolder("");
         long from = System.nanoTime();
         say("started");
@@ -288,11 +293,13 @@
         System.out.printf(Locale.ROOT, "asked %d with the cluster, served %.5f, 99th percentile %.1f ms; without %d, %.5f, %.1f ms%n",
                 fleet.history.copy().asked().size(), judge.served(TWINNED, from, to), waited(judge, from, to),
                 twins.off.history.copy().asked().size(), without.served(TWINNED, from, to), waited(without, from, to));
+        System.out.printf(Locale.ROOT, "most at once at an engine: %d with the cluster, of a cap of %d; %d without%n", judge.mostAtOnce(), CAP,
+                without.mostAtOnce());
         System.out.println("kinds " + String.join(" ", kinds) + "; lost without the cluster " + without.lost().size());
-        return String.format(Locale.ROOT, "cluster processes=%d fault_kinds=%d double_acts=%d over_cap=none lost_answers=%d "
+        return String.format(Locale.ROOT, "cluster processes=%d fault_kinds=%d double_acts=%d over_cap=%s lost_answers=%d "
                 + "bookings_broken=none handover_ttl_ratio_p99=%s fair_distance=none cap_use_ratio=none reclaim_p99_ms=none "
                 + "ready_at_start=none service_ratio_faults=%.4f decision_us_p99=none seed=%d", MEMBERS, kinds.size(),
-                judge.doubleActs().size(), lost, handovers.size() < killed.size() || handovers.isEmpty() ? "none"
+                judge.doubleActs().size(), budgets ? judge.overCap(CAP) : "none", lost, handovers.size() < killed.size() || handovers.isEmpty() ? "none"
                 : String.format(Locale.ROOT, "%.2f", Judge.percentile(handovers, 0.99) / 1e6 / TTL_MS),
                 judge.served(TWINNED, from, to) / without.served(TWINNED, from, to), seed);
     }
--- a/src/test/java/calicostream/rig/Fleet.java
+++ b/src/test/java/calicostream/rig/Fleet.java
@@ -162,7 +162,7 @@
                 out.append("[[links]]\nto = \"m").append(to).append("\"\nvia = \"").append(via(self, to)).append("\"\n");
             }
         }
-        return out + plan.settings() + "tokens_above = " + tokensAbove + "\n";
+        return out + plan.settings().replace("[lease]\n", "[lease]\ntokens_above = " + tokensAbove + "\n");
     }
 
     private String via(int from, int to) {
--- a/src/test/java/calicostream/rig/Judge.java
+++ b/src/test/java/calicostream/rig/Judge.java
@@ -107,23 +107,35 @@
         return out;
     }
 
-    /** By engine, how often it ran more at once than its cap. */
+    /** How often an engine began to run more at once than its cap. */
     long overCap(int cap) {
-        Map<Integer, TreeMap<Long, Integer>> changes = new HashMap<>();
+        return running().stream().filter(each -> each > cap).count();
+    }
+
+    /** The most that an engine ran at once. */
+    int mostAtOnce() {
+        return running().stream().mapToInt(Integer::intValue).max().orElse(0);
+    }
+
+    /** For each request that an engine began to run: how many it then ran. What ended at that moment has ended. */
+    private List<Integer> running() {
+        Map<Integer, TreeMap<Long, int[]>> changes = new HashMap<>();
         for (Ran each : all.ran()) {
-            TreeMap<Long, Integer> of = changes.computeIfAbsent(each.engine(), key -> new TreeMap<>());
-            of.merge(each.from(), 1, Integer::sum);
-            of.merge(each.to(), -1, Integer::sum);
+            TreeMap<Long, int[]> of = changes.computeIfAbsent(each.engine(), key -> new TreeMap<>());
+            of.computeIfAbsent(each.from(), key -> new int[2])[0]++;
+            of.computeIfAbsent(each.to(), key -> new int[2])[1]++;
         }
-        long over = 0;
-        for (TreeMap<Long, Integer> of : changes.values()) {
-            int running = 0;
-            for (int change : of.values()) {
-                running += change;
-                over += change > 0 && running > cap ? 1 : 0;
+        List<Integer> out = new ArrayList<>();
+        for (TreeMap<Long, int[]> of : changes.values()) {
+            int now = 0;
+            for (int[] change : of.values()) {
+                now -= change[1];
+                for (int i = 0; i < change[0]; i++) {
+                    out.add(++now);
+                }
             }
         }
-        return over;
+        return out;
     }
 
     /** The longest time in the window in which a front end that was asked served nobody. */
--- a/src/test/java/calicostream/rig/JudgeTest.java
+++ b/src/test/java/calicostream/rig/JudgeTest.java
@@ -94,7 +94,8 @@
         history.add(new Ran("4", 1, 6, 9));
         assertEquals(0, judge().overCap(2));
         history.add(new Ran("5", 0, 8, Long.MAX_VALUE));
-        assertEquals(1, judge().overCap(2));
+        assertEquals(2, judge().overCap(2), "as the fifth begins, and as the third does");
+        assertEquals(3, judge().mostAtOnce());
     }
 
     @Test
