Probes keep within what engines answer, and stop where nothing they hear is of use

All gateways together now ask an engine 3 times a core and second at most, and an engine that refused or told nothing not for a second.

--- a/src/main/java/calicostream/Logic.java
+++ b/src/main/java/calicostream/Logic.java
@@ -42,6 +42,7 @@
     static final int LOOKS = 2; // engines asked for their load before a query goes: two find most of the best
     static final double LOOK_SHARE = 0.2; // of queries look at least: a quiet fleet may fill unseen
     static final long LOOK_FRESH = 150_000; // us for which a report is as good as a new one: they are as late
+    static final double PROBES = 3; // a core and second from all gateways: engines answer some four at least
     static final long LOOK_WAIT = 30_000; // us that a query waits for the answers: short against the aims
     static final long LOOK_GAP = 250_000; // us between looks for one query: reports change no faster
     static final double LEARN = 0.03; // weight of one query in what is learned: some thirty count
@@ -90,8 +91,8 @@
         Engine entry;
         double cores, ownThreads, others, price;
         double strikes;
-        boolean probing, benched, seen, owed;
-        long reportAt = LONG_AGO, coldFrom = LONG_AGO, benchedUntil, nextTrial, bench = BENCH_FIRST;
+        boolean probing, benched, owed;
+        long askAt, reportAt = LONG_AGO, coldFrom = LONG_AGO, benchedUntil, nextTrial, bench = BENCH_FIRST;
 
         Node(long id) {
             this.id = id;
@@ -263,7 +264,7 @@
         n.coldFrom = e.bornUs() > 0 ? Math.max(n.coldFrom, e.bornUs()) : n.coldFrom;
         if (restarted) {
             forgive(n);
-            n.seen = false;
+            n.reportAt = LONG_AGO;
         }
         if (fresh && cached && processes == 1 && cold(n, now)) { // Restarted: our part is spent.
             n.coldSent.add(new double[] {now, Double.MAX_VALUE, -1});
@@ -347,6 +348,8 @@
         List<Node> out = new ArrayList<>();
         List<Node> shy = new ArrayList<>();
         List<Node> despite = new ArrayList<>();
+        // An error at once costs little, but not a query that may not go again, nor one that has been tried.
+        boolean mayErr = job.attempts == 0 && job.spec.effect() == Effect.REPEATABLE;
         boolean anySound = false;
         int outsiders = 0;
         for (Node n : order(job.group)) {
@@ -361,18 +364,13 @@
                 anySound |= sound;
                 outsiders += sound && !member ? 1 : 0;
                 if (room(now, job, n)) {
-                    (!sound ? despite : n.strikes == 0 || mayErr(job) ? out : shy).add(n);
+                    (!sound ? despite : n.strikes == 0 || mayErr ? out : shy).add(n);
                 }
             }
         }
         return !anySound ? despite : out.isEmpty() ? shy : out;
     }
 
-    /** An error at once costs little, but not a query that may not go again, nor one that has been tried. */
-    private static boolean mayErr(Job job) {
-        return job.attempts == 0 && job.spec.effect() == Effect.REPEATABLE;
-    }
-
     /** All engines by a hash of group and engine: gateways lean the same way unasked, so tables stay warm. */
     private List<Node> order(Group g) {
         if (g.orderOf != rosterChanges) {
@@ -452,7 +450,7 @@
 
     /** Trust in an engine's last report, from 1 down to 0 as it ages. */
     private static double trust(Node n, long now) {
-        return n.seen ? Math.exp((n.reportAt - now) / REPORT_FADE) : 0;
+        return Math.exp((n.reportAt - now) / REPORT_FADE);
     }
 
     /**
@@ -536,8 +534,7 @@
 
     /** Place of an engine in a group's order, by hash; where crossing zones costs, the own zone leads. */
     private double lean(Group g, Node n) {
-        double hash = hash(n, g.number);
-        return (1 + PRICE_PULL * n.price) * -Math.log(Math.max(1e-12, hash));
+        return (1 + PRICE_PULL * n.price) * -Math.log(Math.max(1e-12, hash(n, g.number)));
     }
 
     private void gainLeastLoaded(long now, Group g, List<Node> from) {
@@ -592,13 +589,15 @@
             job.looking = 0;
             for (int i = 0; i < Math.min(LOOKS, from.size()); i++) {
                 Node n = from.get((int) ((job.query.id() + i) % from.size()));
-                if (!n.seen || now - n.reportAt > LOOK_FRESH) {
+                boolean stale = now - n.reportAt > LOOK_FRESH;
+                if (stale && !n.probing && now >= n.askAt) {
+                    n.probing = true;
+                    n.askAt = now + (long) (1e6 * settings.gateways() * processes / (PROBES * n.cores));
+                    actions.probe(n.id);
+                }
+                if (stale && n.probing) {
                     job.looking++;
                     n.lookers.add(job);
-                    if (!n.probing) {
-                        n.probing = true;
-                        actions.probe(n.id);
-                    }
                 }
             }
         }
@@ -981,6 +980,7 @@
             if (outcome == Outcome.CONNECT_FAILED || outcome == Outcome.CANCELLED) {
                 bench(now, n, outcome);
             }
+            n.askAt = n.reportAt == now ? n.askAt : now + BENCH_FIRST; // Nothing to tell, or too many ask.
             n.lookers.forEach(job -> job.looking--);
             n.lookers.clear();
             pump(now);
@@ -1004,7 +1004,6 @@
     /** Takes others' threads on an engine as seen, against what earlier reports are still worth. */
     private void view(long now, Node n, double others, double weight) {
         n.others += (others - n.others) * Math.max(1 - trust(n, now), weight);
-        n.seen = true;
         n.reportAt = now;
     }
 
--- a/src/test/java/calicostream/UntoldTest.java
+++ b/src/test/java/calicostream/UntoldTest.java
@@ -90,4 +90,26 @@
         }
         assertTrue(sent[1] > 0 && sent[1] < sent[0], sent[1] + " of the slower ones, " + sent[0] + " of the others");
     }
+
+    /** All front ends together ask an engine no more often than its cores answer, also where nothing they hear is of use. */
+    @ParameterizedTest
+    @ValueSource(strings = {"inflight", "queue", "full"})
+    void probesStayWithinWhatEnginesAnswer(String column) {
+        int gateways = 20;
+        Recorder r = Recorder.with(Recorder.settings(gateways, 1, 0, true, List.of(), LOOK), 2);
+        int heard = 0;
+        for (int i = 0; i < 1000; i++) { // 10 s
+            r.pass(10 * MS);
+            r.ask(i, 0);
+            for (; heard < r.probed.size(); heard++) {
+                Outcome outcome = column.equals("full") ? Outcome.FULL : Outcome.OK;
+                r.logic.probed(r.now, r.probed.get(heard), outcome, Report.NOTHING.with(column, 1));
+            }
+            if (r.lastOf(i) != null) {
+                r.end(r.lastOf(i), Outcome.OK, 100, 50);
+            }
+        }
+        int most = 2 * (int) (1 + 10 * Logic.PROBES * 8 / gateways);
+        assertTrue(heard >= 2 && heard <= most, heard + " of " + most);
+    }
 }
