--- a/src/test/java/calicostream/LayoutTest.java
+++ b/src/test/java/calicostream/LayoutTest.java
@@ -56,6 +56,14 @@
                 "calicostream.budget..", "calicostream.booking..").check(CLASSES);
     }
 
+    /** A wall clock that steps reaches nothing that the fleet agrees on, as nobody there reads one. */
+    @Test
+    void whatTheFleetAgreesOnReadsNoWallClock() {
+        noClasses().that().resideInAnyPackage("calicostream.cluster..", "calicostream.durable..", "calicostream.lease..",
+                "calicostream.budget..").should().callMethod(System.class, "currentTimeMillis").orShould()
+                .callMethod(java.time.Instant.class, "now").orShould().callMethod(java.time.Clock.class, "systemUTC").check(CLASSES);
+    }
+
     @Test
     void coreAndWhatAllWiresShareKnowNoShell() {
         for (String each : new String[] {"calicostream.core..", "calicostream.net..", "calicostream.sql..",
