--- a/src/measure/java/calicostream/cluster/sim/SimCluster.java
+++ b/src/measure/java/calicostream/cluster/sim/SimCluster.java
@@ -701,8 +701,8 @@
         Optional<Host> leader = leading();
         return leader.isPresent() && leader.get() != host && host.runsVoter && !host.down && leader.get().voter.voters().size() >= 3
                 && leader.get().voter.voters().contains(host.name())
-                && leader.get().voter.voters().stream().map(name -> host(((Voter) name).member())).allMatch(each ->
-                        leader.get().voter.voters().contains(each.name()) && !each.down && !each.disk.fails && !each.lied
+                && leader.get().voter.voters().stream().allMatch(name -> host(((Voter) name).member()).name().equals(name))
+                && leader.get().voter.voters().stream().map(name -> host(((Voter) name).member())).allMatch(each -> !each.down && !each.disk.fails && !each.lied
                                 && each.voter != null && !each.voter.isStopped() && (each == host || !each.disk.lies));
     }
 
@@ -754,7 +754,6 @@
 
     /** What an operator does with a member that forgot: empty disks, the next generation, a change of voters. */
     private void rebirth(Host host) {
-        Voter old = host.name();
         if (!host.down) {
             host.crash();
         }
@@ -762,21 +761,22 @@
         host.newDisks();
         host.lied = false;
         restart(host, 50);
-        world.at(world.now() + 60 * MILLI, () -> replace(old, host.name(), 20));
+        world.at(world.now() + 60 * MILLI, () -> replace(host.name(), 20));
     }
 
     /** Whoever leads takes the next step, a few times; other changes may come between. */
-    private void replace(Voter old, Voter by, int times) {
+    private void replace(Voter by, int times) {
         leading().ifPresent(leader -> {
             List<Voter> wanted = new ArrayList<>();
             leader.voter.voters().forEach(voter -> wanted.add((Voter) voter));
-            if (wanted.remove(old) | wanted.remove(by)) {
+            // An earlier one of its generations may still be there.
+            if (wanted.removeIf(each -> each.member() == by.member())) {
                 wanted.add(by);
                 leader.voter.towards(wanted, error -> changes += error == null ? 1 : 0);
             }
         });
         if (times > 0) {
-            world.at(world.now() + 100 * MILLI, () -> replace(old, by, times - 1));
+            world.at(world.now() + 100 * MILLI, () -> replace(by, times - 1));
         }
     }
 
