--- a/src/measure/java/calicostream/rig/ClusterMeasure.java
+++ b/src/measure/java/calicostream/rig/ClusterMeasure.java
@@ -34,9 +34,9 @@
     private static final int KILLS = 4;
     private static final int LINK_FAULTS = 10;
 
-    private static final int CAP = 14; // sessions that an engine runs at once: two for each process
+    private static final int CAP = 56; // sessions that an engine runs at once: eight for each process
     private static final String BUDGETS = "[budget]\nttl = \"1500ms\"\nprocesses = [\"m1\", \"m2\", \"m3\", \"m4\", \"m5\", \"m6\", \"m7\"]\n"
-            + "default = \"all\"\nin_hand = 2\npatience = \"2s\"\n[pools.all]\nengine_cap = " + CAP + "\nfloor = 1\n[tenants.all]\n";
+            + "default = \"all\"\nin_hand = 8\npatience = \"2s\"\n[pools.all]\nengine_cap = " + CAP + "\nfloor = 4\n[tenants.all]\n";
 
     private interface Fault {
         void play() throws Exception;
@@ -176,7 +176,7 @@
         long from = System.nanoTime();
         long end = from + 4 * TTL_MS * 1_000_000;
         int holder = holder();
-        for (long since = from; System.nanoTime() < end && System.nanoTime() - since < TTL_MS * 1_000_000 / 2; Await.pass(5)) {
+        for (long since = from; System.nanoTime() < end && System.nanoTime() - since < TTL_MS * 1_100_000; Await.pass(5)) {
             if (holder() != holder || System.nanoTime() - lastAct().map(Act::at).orElse(0L) > TTL_MS * 1_000_000 / 4) {
                 holder = holder();
                 since = System.nanoTime();
@@ -293,6 +293,8 @@
         System.out.printf(Locale.ROOT, "asked %d with the cluster, served %.5f, 99th percentile %.1f ms; without %d, %.5f, %.1f ms%n",
                 fleet.history.copy().asked().size(), judge.served(TWINNED, from, to), waited(judge, from, to),
                 twins.off.history.copy().asked().size(), without.served(TWINNED, from, to), waited(without, from, to));
+        System.out.printf(Locale.ROOT, "refused %d with the cluster, %d without%n", judge.ended(TWINNED, from, to, History.Answer.REFUSED),
+                without.ended(TWINNED, from, to, History.Answer.REFUSED));
         System.out.printf(Locale.ROOT, "most at once at an engine: %d with the cluster, of a cap of %d; %d without%n", judge.mostAtOnce(), CAP,
                 without.mostAtOnce());
         System.out.println("kinds " + String.join(" ", kinds) + "; lost without the cluster " + without.lost().size());
