--- a/src/measure/java/calicostream/rig/ClusterMeasure.java
+++ b/src/measure/java/calicostream/rig/ClusterMeasure.java
@@ -16,6 +16,8 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.stream.Stream;
 
 /**
@@ -46,7 +48,7 @@
     private final Random random;
     private final Twins twins;
     private final Fleet fleet;
-    private final Set<String> kinds = new java.util.TreeSet<>();
+    private final Set<String> kinds = new TreeSet<>();
     private final List<Long> killed = new ArrayList<>();
     private boolean budgets; // whether this version runs them
     private final Map<String, Fault> faults = new LinkedHashMap<>();
@@ -93,6 +95,7 @@
         twins.startAll();
         budgets = fleet.signs(leader()).get("layers").asObject().names().contains("budget");
         awaitHolder("");
+        awaitGrants();
         long from = System.nanoTime();
         say("started");
         List<String> order = order();
@@ -156,6 +159,17 @@
         return up.get(0);
     }
 
+    /** A start of the whole fleet is no fault: it counts from when grants are in force, or a bounded time later. */
+    private void awaitGrants() throws Exception {
+        long end = System.nanoTime() + 8_000_000_000L;
+        for (int each : fleet.members()) {
+            while (budgets && System.nanoTime() < end && !fleet.signs(each).get("layers").asObject().get("budget").asObject().get("here")
+                    .asObject().getBoolean("live", false)) {
+                Await.pass(20);
+            }
+        }
+    }
+
     private int follower() throws Exception {
         int leader = leader();
         List<Integer> others = new ArrayList<>(twins.up());
@@ -295,6 +309,7 @@
                 twins.off.history.copy().asked().size(), without.served(TWINNED, from, to), waited(without, from, to));
         System.out.printf(Locale.ROOT, "refused %d with the cluster, %d without%n", judge.ended(TWINNED, from, to, History.Answer.REFUSED),
                 without.ended(TWINNED, from, to, History.Answer.REFUSED));
+        System.out.println("refused with the cluster, by front end, in seconds since the start: " + refusals());
         System.out.printf(Locale.ROOT, "most at once at an engine: %d with the cluster, of a cap of %d; %d without%n", judge.mostAtOnce(), CAP,
                 without.mostAtOnce());
         System.out.println("kinds " + String.join(" ", kinds) + "; lost without the cluster " + without.lost().size());
@@ -306,6 +321,13 @@
                 judge.served(TWINNED, from, to) / without.served(TWINNED, from, to), seed);
     }
 
+    private Map<Integer, Map<Long, Integer>> refusals() {
+        Map<Integer, Map<Long, Integer>> out = new TreeMap<>();
+        fleet.history.copy().answered().stream().filter(each -> each.answer() == History.Answer.REFUSED).forEach(each -> out
+                .computeIfAbsent(each.front(), key -> new TreeMap<>()).merge((each.at() - began) / 1_000_000_000L, 1, Integer::sum));
+        return out;
+    }
+
     private static double waited(Judge judge, long from, long to) {
         return Judge.percentile(judge.waits(TWINNED, from, to), 0.99) / 1e6;
     }
