Slow attempts are called off only where a report would show that it helped

A cancel may not be heeded, and nothing in the settings tells: the attempt ran on, uncounted, and its query went out again or was given up.

--- a/src/main/java/calicostream/Logic.java
+++ b/src/main/java/calicostream/Logic.java
@@ -672,7 +672,8 @@
         if (p.notice() == Notice.WAITS_FOR_MEMORY) { // The engine is full, whatever its cores report.
             view(now, job.at, room * job.at.cores, REPORT_WEIGHT);
         }
-        if (p.notice() == Notice.SHARE_DONE && !job.done && !job.cancelled && !job.streaming) {
+        boolean shows = settings.reporting() != Reporting.NONE; // Whether cancels free engines.
+        if (shows && p.notice() == Notice.SHARE_DONE && !job.done && !job.cancelled && !job.streaming) {
             judge(now, job, Math.min(1, Math.max(0.005, p.amount())));
         }
     }
--- a/src/test/java/calicostream/UntoldTest.java
+++ b/src/test/java/calicostream/UntoldTest.java
@@ -8,11 +8,15 @@
 
 import calicostream.QueryRouter.Effect;
 import calicostream.QueryRouter.EngineState;
+import calicostream.QueryRouter.Notice;
 import calicostream.QueryRouter.Outcome;
+import calicostream.QueryRouter.Progress;
 import calicostream.QueryRouter.Query;
 import calicostream.QueryRouter.QueryClass;
 import calicostream.QueryRouter.Report;
+import calicostream.QueryRouter.Reporting;
 import calicostream.QueryRouter.RosterKind;
+import calicostream.QueryRouter.Settings;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -112,4 +116,21 @@
         int most = 2 * (int) (1 + 10 * Logic.PROBES * 8 / gateways);
         assertTrue(heard >= 2 && heard <= most, heard + " of " + most);
     }
+
+    /** A cancel that engines don't heed leaves the work where it was: without reports nothing would show that. */
+    @Test
+    void slowAttemptIsLeftAloneWhereNoReportWouldShowWhatItsCancelFrees() {
+        for (Reporting how : List.of(Reporting.NONE, Reporting.WITH_ANSWERS)) {
+            for (int attempts = 1; attempts <= 3; attempts += 2) { // One that can't move is given up.
+                Settings s = Recorder.settings(1, attempts, 0, false, List.of(), LOOK);
+                Recorder r = Recorder.with(new Settings(s.gateways(), 0, 0, s.fees(), s.kinds(), s.classes(), s.tenants(), 1,
+                        s.limits(), s.rules(), s.engines(), how, false, s.tickUs()), 3);
+                r.ask(1, 0);
+                r.pass(400 * MS);
+                r.logic.progress(r.now, new Progress(1, 0, Notice.SHARE_DONE, 0.01));
+                assertEquals(how == Reporting.NONE ? 0 : 1, r.cancelled.size(), how.toString());
+                assertEquals(how == Reporting.NONE || attempts > 1 ? 0 : 1, r.failed.size(), how.toString());
+            }
+        }
+    }
 }
