--- a/src/main/java/calicostream/daemon/ClusterPart.java
+++ b/src/main/java/calicostream/daemon/ClusterPart.java
@@ -36,7 +36,7 @@
     private ClusterPart(ClusterConfig config, long tokensAbove) {
         this.config = config;
         budget = config.budget().map(settings -> new BudgetLayer(settings, config.self().name())).orElse(null);
-        leases = new LeaseLayer(config.leaseTtl(), tokensAbove);
+        leases = new LeaseLayer(config.leaseTtl(), config.raft().heartbeat(), tokensAbove);
         TaskSource.chosen().forEach(leases::add);
         layers.add(leases);
         if (budget != null) {
--- a/src/main/java/calicostream/lease/process/LeaseLayer.java
+++ b/src/main/java/calicostream/lease/process/LeaseLayer.java
@@ -32,12 +32,13 @@
 
     /**
      * @param ttl of all leases
+     * @param heartbeat at which a leader counts them
      * @param tokensAbove all tokens are above it: what an earlier group may have given whose log is lost
      */
-    public LeaseLayer(Duration ttl, long tokensAbove) {
+    public LeaseLayer(Duration ttl, Duration heartbeat, long tokensAbove) {
         this.ttl = ttl;
         machine = new LeaseMachine(tokensAbove);
-        watch = new LeaderWatch(machine);
+        watch = new LeaderWatch(machine, heartbeat.toNanos());
     }
 
     /** Before the member starts. */
--- a/src/measure/java/calicostream/lease/LeaseModel.java
+++ b/src/measure/java/calicostream/lease/LeaseModel.java
@@ -152,7 +152,7 @@
 
     private LeaderWatch watch(byte[] s) {
         return parts.watch(log.machine(machine(s)), s[SEEN_TOKEN] == 0 ? Map.of()
-                : Map.of(LeaseSteps.NAME, new LeaderWatch.Seen(s[SEEN_TOKEN], s[SEEN_RENEWALS], NOW - s[SEEN_AGO])));
+                : Map.of(LeaseSteps.NAME, new LeaderWatch.Seen(s[SEEN_TOKEN], s[SEEN_RENEWALS], NOW - s[SEEN_AGO])), 0);
     }
 
     private void keepWatch(byte[] s, LeaderWatch watch) {
--- a/src/measure/java/calicostream/lease/LeaseProofs.java
+++ b/src/measure/java/calicostream/lease/LeaseProofs.java
@@ -83,7 +83,7 @@
                 case QUEUE_GRANT_NOT_CONFIRMED, LEASE_FREED_WITH_SESSION -> all.put(each, new LeaseModel(STOPS, each));
                 case EXPIRY_WITHOUT_RENEWALS -> all.put(each, new LeaseModel(RENEWALS, each));
                 case VOTE_AFTER_AMNESIA -> all.put(each, new VoterModel(new VoterModel.Scope(2, 2, 1, 1), each));
-                case GRANT_FREED_BEFORE_EXPIRY -> { } // The budgets' own.
+                case GRANT_FREED_BEFORE_EXPIRY, CLOCK_STEP_COUNTED -> { } // The budgets' own, and the clusters'.
             }
         }
         return all;
--- a/src/measure/java/calicostream/lease/Parts.java
+++ b/src/measure/java/calicostream/lease/Parts.java
@@ -71,8 +71,9 @@
         };
     }
 
-    LeaderWatch watch(LeaseMachine machine, Map<String, LeaderWatch.Seen> seen) {
-        return new LeaderWatch(machine, drift, seen) {
+    /** @param period between two looks; 0: it looks whenever it likes, and no step of its clock is to be counted */
+    LeaderWatch watch(LeaseMachine machine, Map<String, LeaderWatch.Seen> seen, long period) {
+        return new LeaderWatch(machine, drift, seen, isOut(Mutant.CLOCK_STEP_COUNTED) ? 0 : period) {
             @Override
             long inherited(long now, long ttl) {
                 return isOut(Mutant.NEW_LEADER_DOES_NOT_WAIT) ? now - drift.beyond(ttl) : super.inherited(now, ttl);
--- a/src/measure/java/calicostream/lease/VirtualLog.java
+++ b/src/measure/java/calicostream/lease/VirtualLog.java
@@ -80,7 +80,7 @@
         leader = voter;
         changes++;
         apply(new Proposal(new Entry.Era(voter, changes).encode(), outcome -> { }));
-        watch = parts.watch(machine, Map.of());
+        watch = parts.watch(machine, Map.of(), 0);
         keeper = new SessionKeeper(state, PERIOD);
         watch.eraBegan(state.era(), runs.process(voter).nanos());
     }
--- a/src/measure/java/calicostream/prove/Mutant.java
+++ b/src/measure/java/calicostream/prove/Mutant.java
@@ -15,6 +15,8 @@
     DRIFT_NOT_COUNTED,
     /** A grant from the queue is used without a renewal, counted from its arrival. */
     QUEUE_GRANT_NOT_CONFIRMED,
+    /** A step of the leader's clock counts as time; taken by whole clusters, as the models' leaders look when they like. */
+    CLOCK_STEP_COUNTED,
     /** A lease ends with its holder's session. */
     LEASE_FREED_WITH_SESSION,
     /** The leader's end of a lease counts though it was renewed meanwhile. */
