--- a/src/measure/java/calicostream/cluster/sim/SimCluster.java
+++ b/src/measure/java/calicostream/cluster/sim/SimCluster.java
@@ -615,8 +615,7 @@
                     voter.crashesLeft = fault.b() % 4;
                 }
             }
-            // Ahead, which ends things early, and where no leader counts: a leader's clock is promised to drift alone.
-            case CLOCK_STEP -> hosts.get(hosts.size() - 1 - fault.a() % 2).process.step(fault.lasts() * MILLI);
+            case CLOCK_STEP -> a.process.step(fault.lasts() * MILLI);
             case MEMBER_CRASH -> {
                 Host member = hosts.get(hosts.size() - 1 - fault.a() % 2);
                 if (!member.down) {
