--- a/src/main/java/calicostream/Logic.java
+++ b/src/main/java/calicostream/Logic.java
@@ -424,21 +424,20 @@
             return true;
         }
         Learned known = job.learned;
-        double weight = known.weight;
         int all = Math.max(settings.gateways(), settings.index() + 1) * processes;
         double most = COLD_PART * r.coldMultiple() * r.coldShare() * n.cores * CORE_YIELD * window / all;
-        boolean apart = most < weight;
+        boolean apart = most < known.weight;
         Predicate<Learned> along = other -> apart ? other == known : other.weight <= most;
         double sent = n.coldSent.stream()
                 .mapToDouble(e -> e[2] < 0 || along.test(learned[(int) e[2]]) ? e[1] : 0).sum();
         double share = Arrays.stream(learned).filter(along).mapToDouble(o -> faded(o.asked, now, 0)).sum();
         double part = most * share / Math.max(1, faded(asked, now, 0));
-        double rare = Math.sqrt(2 * window * LONG * weight / share);
+        double rare = Math.sqrt(2 * window * LONG * known.weight / share);
         double turn = Math.min(2 * window, Math.max(window / TURNS, rare));
-        double cycle = (window + turn) * weight / part;
+        double cycle = (window + turn) * known.weight / part;
         long number = Math.floorMod(settings.index() * processes + place + (n.id * HASH_SPREAD >>> 33), all);
         boolean inTurn = apart && sent <= 0 && (now - n.coldFrom + cycle * number / all) % cycle < turn;
-        return inTurn || sent + weight <= part;
+        return inTurn || sent + known.weight <= part;
     }
 
     /** Sessions: threads in hand, own and others', stay under what the cores do well. */
