Test: a drain is waited for, and the stand's change log says that it is there

Seen under load: nothingNewGoesToDrainingEngine found an attempt at the drained engine. The follower leaves a change log that is silent for 2.2 s, so a slow start lost the event; and that a request went to the other engine was taken for the drain's arrival, though a busy engine moves a request as well. Now the log says now and then that it is there, and the figures tell that an event behind the drain was read.

--- a/src/test/java/calicostream/wire/ChangeLogStand.java
+++ b/src/test/java/calicostream/wire/ChangeLogStand.java
@@ -8,11 +8,16 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 
 /** A stand-in for the change log: one follower at a time, told what a test says. */
 public final class ChangeLogStand implements AutoCloseable {
+    private static final int SIGN_MS = 200;
     private final ServerSocket server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
     private Socket follower;
+    private ScheduledExecutorService awake;
 
     public ChangeLogStand() throws IOException {
         server.setSoTimeout((int) Program.PATIENCE_MS);
@@ -47,7 +52,23 @@
         write("id: " + seq + "\ndata: " + event + "\n\n");
     }
 
-    public void write(String text) throws IOException {
+    /** From now on it says now and then that it is there: followers leave a log that is silent for two seconds. */
+    public void stayAwake() {
+        awake = Executors.newSingleThreadScheduledExecutor(task -> {
+            Thread thread = new Thread(task, "change log");
+            thread.setDaemon(true);
+            return thread;
+        });
+        awake.scheduleAtFixedRate(() -> {
+            try {
+                write(": here\n\n");
+            } catch (IOException e) {
+                awake.shutdown(); // The follower has gone, and the test with it.
+            }
+        }, SIGN_MS, SIGN_MS, TimeUnit.MILLISECONDS);
+    }
+
+    public synchronized void write(String text) throws IOException {
         follower.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
     }
 
@@ -58,6 +79,9 @@
     @Override
     public void close() throws IOException {
         server.close();
+        if (awake != null) {
+            awake.shutdownNow();
+        }
         if (follower != null) {
             follower.close();
         }
--- a/src/test/java/calicostream/wire/FaultRunsTest.java
+++ b/src/test/java/calicostream/wire/FaultRunsTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -53,6 +55,7 @@
             log = new ChangeLogStand();
             program = new Program(folder, log.port(), known, stand.deploy());
             log.follow();
+            log.stayAwake();
             admin = program.port("operators call on port");
             stand.connect(program);
         }
@@ -168,19 +171,15 @@
             Stand.Asked running = first.next();
             int index = engines.indexOf(first);
             log.tell(2, Program.event(2, false, List.of(entry(index, "Terminating", 0))));
-            // The log is read in order with nothing else, so an answer to a new start proves nothing of it:
-            // the drain has arrived once requests of the group go to the other engine.
+            // The log is read in order, and the figures tell that what came behind the drain has been read.
+            String third = Program.endpoint("e9", new InetSocketAddress(InetAddress.getLoopbackAddress(), 1), "Terminating", 0);
+            log.tell(3, Program.event(3, false, List.of(third)));
+            long end = System.nanoTime() + Program.PATIENCE_MS * 1_000_000;
+            while (!Program.call(admin, "GET /-/metrics").contains("\"pool_size\":3") && System.nanoTime() < end) {
+                Thread.onSpinWait();
+            }
             Stand.Engine other = engines.get(1 - index);
             List<Stand.Answer> later = new ArrayList<>();
-            long end = System.nanoTime() + Program.PATIENCE_MS * 1_000_000;
-            do {
-                later.add(stand.ask("lookup", READ, 9000));
-                Stand.Engine at = arrivedAt();
-                at.next().serve("row");
-                if (at == other) {
-                    break;
-                }
-            } while (System.nanoTime() < end);
             for (int i = 0; i < 20; i++) {
                 later.add(stand.ask("lookup", READ, 9000));
                 other.next().serve("row");
