--- a/src/test/java/calicostream/rig/LeasesTest.java
+++ b/src/test/java/calicostream/rig/LeasesTest.java
@@ -76,10 +76,11 @@
         return lastDone();
     }
 
-    /** The holder has checked that it holds, is stopped for three times its lease, goes on, and acts. */
-    private void stopBetweenCheckAndAct() throws Exception {
+    /** The holder has checked that it holds, is stopped for three times its lease, goes on, and acts: that act, under its former token. */
+    private Act stopBetweenCheckAndAct() throws Exception {
         fleet.resource.closeGate();
         String holder = fleet.resource.awaitHeld();
+        long token = lastOf(holder).token();
         Proc proc = fleet.proc(number(holder));
         proc.signal("STOP");
         try {
@@ -89,19 +90,26 @@
         } finally {
             proc.signal("CONT");
         }
-        Await.until(() -> acts.copy().acts().stream().anyMatch(a -> a.who().equals(holder) && a.at() > lastOther(holder)),
-                () -> holder + " did not act after it was stopped");
+        Await.until(() -> !lateActs(holder).isEmpty(), () -> holder + " did not act after it was stopped");
+        Act late = lateActs(holder).get(0);
+        assertEquals(token, late.token());
+        return late;
     }
 
-    private long lastOther(String holder) {
-        return acts.copy().acts().stream().filter(a -> !a.who().equals(holder)).mapToLong(Act::at).min().orElse(Long.MAX_VALUE);
+    private Act lastOf(String holder) {
+        return acts.copy().acts().stream().filter(a -> a.done() && a.who().equals(holder)).max(Comparator.comparingLong(Act::at)).orElseThrow();
+    }
+
+    /** Its acts after the first of another one. */
+    private List<Act> lateActs(String holder) {
+        long other = acts.copy().acts().stream().filter(a -> !a.who().equals(holder)).mapToLong(Act::at).min().orElse(Long.MAX_VALUE);
+        return acts.copy().acts().stream().filter(a -> a.who().equals(holder) && a.at() > other).sorted(Comparator.comparingLong(Act::at)).toList();
     }
 
     @Test
     void holderStoppedBetweenCheckAndActIsRefused() throws Exception {
-        stopBetweenCheckAndAct();
+        assertFalse(stopBetweenCheckAndAct().done(), "its late act must have come, and been refused");
         assertEquals(List.of(), new Judge(acts.copy()).doubleActs());
-        assertTrue(acts.copy().acts().stream().anyMatch(a -> !a.done()), "its late act must have come, and been refused");
     }
 
     /** The control: the same without the check of tokens. If this finds nothing, the test above proves nothing. */
@@ -109,7 +117,7 @@
     void withoutTheFenceTheSameHolderActsTwice() throws Exception {
         record(false);
         awaitAct(System.nanoTime());
-        stopBetweenCheckAndAct();
+        assertTrue(stopBetweenCheckAndAct().done());
         assertFalse(new Judge(acts.copy()).doubleActs().isEmpty(), "the judge finds no double act where there is one");
     }
 
@@ -130,9 +138,20 @@
                 .allMatch(a -> a.at() < next.at()), "its last act comes before the first of its successor");
     }
 
+    /** As operators see it: who does not hold is in the queue. */
+    private void awaitOthersWait(String holder) throws Exception {
+        for (int member = 1; member <= 5; member++) {
+            if (member != number(holder)) {
+                fleet.awaitSigns(member, "waiting for its turn", signs -> signs.get("layers").asObject().get("lease").asObject().get("tasks")
+                        .asObject().get(RigTasks.LEASE).asObject().get("state").asString().equals("waiting"));
+            }
+        }
+    }
+
     @Test
     void killedHolderIsFollowedSoon() throws Exception {
         String holder = lastDone().who();
+        awaitOthersWait(holder);
         long killed = System.nanoTime();
         fleet.kill(number(holder));
         awaitSuccessor(holder);
@@ -145,12 +164,16 @@
     @Test
     void plannedStopHandsOverAtOnce() throws Exception {
         String holder = lastDone().who();
+        awaitOthersWait(holder);
+        Proc proc = fleet.proc(number(holder));
         long stopped = System.nanoTime();
-        fleet.stop(number(holder));
-        Act next = awaitSuccessor(holder);
-        Judge judge = new Judge(acts.copy());
-        assertEquals(List.of(), judge.doubleActs());
-        long last = acts.copy().acts().stream().filter(a -> a.done() && a.who().equals(holder)).mapToLong(Act::at).max().orElse(stopped);
-        assertTrue(next.at() - last < TTL_MS * 1_000_000, "handed over in " + (next.at() - last) / 1_000_000 + " ms");
+        assertEquals(143, fleet.stop(number(holder)));
+        awaitSuccessor(holder);
+        assertEquals(List.of(), new Judge(acts.copy()).doubleActs());
+        Act last = lastOf(holder);
+        Act next = acts.copy().acts().stream().filter(a -> a.done() && a.token() > last.token()).min(Comparator.comparingLong(Act::at)).orElseThrow();
+        proc.awaitLine("lease-given-back lease=" + RigTasks.LEASE + " token=" + last.token());
+        assertTrue(next.at() - last.at() < TTL_MS * 1_000_000, "handed over in " + (next.at() - last.at()) / 1_000_000 + " ms");
+        assertTrue(next.at() - stopped < 2_000_000_000L, (next.at() - stopped) / 1_000_000 + " ms from the word to stop");
     }
 }
