--- /dev/null
+++ b/src/measure/java/calicostream/lease/TrialsFleet.java
@@ -0,0 +1,108 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.lease;
+
+import calicostream.QueryRouter.Outcome;
+import calicostream.core.Gateway;
+import calicostream.core.Sides;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+
+/**
+ * Twenty front ends with the module as it is, an engine that is down for a minute, and hints or none; in virtual time (microseconds). The
+ * accounts are read once {@link #of} has returned.
+ */
+final class TrialsFleet {
+    static final long SEED = 25;
+    static final int SIZE = 20;
+    static final long MILLI = 1_000;
+    static final long END = 75_000 * MILLI;
+    private static final long DOWN = 3;
+    private static final long BACK_AT = 60_000 * MILLI;
+    private static final long NEWS = 30 * MILLI;
+    private static final String SETTINGS = "lanes.count=1\nlanes.0.name=look\nlanes.0.effect=repeatable\n"
+            + "lanes.0.aim_us=800000\nlanes.0.deadline_us=4000000\nfamily_info.kind_cores=12\n"
+            + "family_info.kind_memory_mb=24576\nceilings.max_attempts=3\nceilings.cancel=true\ntick_us=5000\n"
+            + "family_info.holds_tables=false\nfamily_info.waits_for_loads=true\n"
+            + "family_info.width_by_class=1\nrules.cold_share=0.3\nrules.overload_factor=4\n"
+            + "rules.fall_us=2000000\nrules.warm_up_us=14000000\n";
+
+    private final class Process implements Trials.FrontEnd {
+        final Sides sides = new Sides(SETTINGS);
+        final Trials trials = new Trials(this);
+        boolean used;
+
+        Process() {
+            sides.start(1, 2, 3, 4, 5, 6);
+        }
+
+        void turn() {
+            sides.time = time;
+            sides.deadlines.run(time);
+            sides.gateway.accept(sides, time, "q", 0, random.nextInt(8), 1_000_000, new byte[0]);
+            while (!sides.sent.isEmpty()) {
+                Gateway.Attempt each = sides.sent.remove(0);
+                boolean fails = each.engine == DOWN && time < BACK_AT;
+                trialsMade += fails ? 1 : 0;
+                if (each.engine == DOWN && !fails && !used) {
+                    used = true;
+                    backAfter.add(time - BACK_AT);
+                }
+                sides.gateway.ended(each, fails ? Outcome.CONNECT_FAILED : Outcome.OK, null, new byte[0]);
+            }
+        }
+
+        @Override
+        public Trials.View view() {
+            return new Trials.View(sides.gateway.ready(true), sides.gateway.ready(false));
+        }
+
+        @Override
+        public void hinted(long engine, boolean served) {
+            sides.gateway.hinted(engine, served);
+        }
+    }
+
+    private record Word(long at, byte[] payload) { }
+
+    private final Random random = new Random(SEED);
+    private long time = 1_000_000;
+    /** For each front end that used the engine again: how long after it was back. */
+    final List<Long> backAfter = new ArrayList<>();
+    /** Queries that went to the engine while it was down. */
+    int trialsMade;
+
+    private TrialsFleet() { }
+
+    /** @param holder of the lease; -1: nobody, the fleet without a cluster; @param diesAt its words end then */
+    static TrialsFleet of(int holder, long diesAt) {
+        TrialsFleet made = new TrialsFleet();
+        made.run(holder, diesAt);
+        return made;
+    }
+
+    private void run(int holder, long diesAt) {
+        List<Process> fleet = IntStream.range(0, SIZE).mapToObj(i -> new Process()).toList();
+        ArrayDeque<Word> words = new ArrayDeque<>();
+        Holder held = new Holder(Trials.LEASE, 3_600_000_000_000L, 0);
+        held.want();
+        held.answered(0, held.next(0).number(), new LeaseAnswer.Holds(4));
+        Acts acts = new Acts(held, () -> 0, "lease", (machine, body, done) ->
+                words.add(new Word(time, ((LeaseCommand.Act) LeaseCommand.decode(body)).payload())));
+        if (holder >= 0) {
+            fleet.get(holder).trials.started(acts);
+        }
+        for (; time < END; time += 20 * MILLI) {
+            fleet.forEach(Process::turn);
+            if (holder >= 0 && time < diesAt) {
+                fleet.get(holder).trials.step(acts, time * 1000);
+            }
+            while (!words.isEmpty() && time - words.peek().at >= NEWS) {
+                byte[] word = words.poll().payload;
+                fleet.forEach(each -> each.trials.heard(4, word, time * 1000));
+            }
+        }
+    }
+}
--- a/src/test/java/calicostream/core/GatewayTest.java
+++ b/src/test/java/calicostream/core/GatewayTest.java
@@ -1,21 +1,17 @@
 // SPDX-License-Identifier: Apache-2.0
 package calicostream.core;
 
+import static calicostream.core.Sides.engine;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import calicostream.QueryRouter.Engine;
 import calicostream.QueryRouter.EngineState;
 import calicostream.QueryRouter.Outcome;
-import calicostream.QueryRouter.Report;
 import calicostream.QueryRouter.RosterKind;
-import calicostream.SettingsParser;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
@@ -23,151 +19,40 @@
 
 /** What the core promises whatever its two sides and the module do, on a clock that the tests turn. */
 class GatewayTest {
-    private static final String SETTINGS = "lanes.count=2\nlanes.0.name=look\nlanes.0.effect=repeatable\n"
-            + "lanes.0.aim_us=800000\nlanes.0.deadline_us=4000000\nlanes.1.name=load\nlanes.1.effect=once\n"
-            + "lanes.1.aim_us=4000000\nlanes.1.deadline_us=20000000\nfamily_info.kind_cores=12\n"
-            + "family_info.kind_memory_mb=24576\nceilings.max_attempts=3\nceilings.cancel=true\ntick_us=5000\n"
-            + "family_info.holds_tables=false,true\nfamily_info.waits_for_loads=true,false\n"
-            + "family_info.width_by_class=1,2\nrules.cold_share=0.3\nrules.overload_factor=4\n"
-            + "rules.fall_us=2000000\nrules.warm_up_us=14000000\n";
-    private long time = 1_000_000;
-    private final Clock clock = new Clock() {
-        @Override
-        public long now() {
-            return time;
-        }
-    };
-    private final Deadlines deadlines = new Deadlines();
-    private final List<Gateway.Attempt> sent = new ArrayList<>();
-    private final List<String> told = new ArrayList<>();
-    private final Gateway gateway = new Gateway(clock, deadlines, SettingsParser.ofLines(SETTINGS).settings(),
-            Watcher.NONE);
-    private Outcome atOnce;
-
-    private final Engines engines = new Engines() {
-        @Override
-        public void attach(Gateway to) { }
-
-        @Override
-        public void locate(long engine, InetSocketAddress address) { }
-
-        @Override
-        public void send(Gateway.Attempt attempt) {
-            sent.add(attempt);
-            if (atOnce != null) {
-                gateway.ended(attempt, atOnce, null, null);
-            }
-        }
-
-        @Override
-        public void stop(Gateway.Attempt attempt) {
-            told.add("stop " + attempt.number);
-        }
-
-        @Override
-        public boolean admits(Gateway.Request request) {
-            if (keeps) {
-                kept.add(request);
-            }
-            return !keeps;
-        }
-
-        @Override
-        public boolean mayUse(Gateway.Request request, long engine) {
-            return !full.contains(engine);
-        }
-
-        @Override
-        public void over(Gateway.Attempt attempt, Outcome outcome, Report report) {
-            overs.add(attempt.engine + " " + outcome);
-        }
-
-        @Override
-        public void priority(Gateway.Attempt attempt) { }
-
-        @Override
-        public void withdrawn(long engine) {
-            told.add("withdrawn " + engine);
-        }
-
-        @Override
-        public void renewed(long engine) {
-            told.add("renewed " + engine);
-        }
-
-        @Override
-        public void gone(long engine) {
-            told.add("gone " + engine);
-        }
-    };
-
-    private final List<Gateway.Request> kept = new ArrayList<>();
-    private final List<String> overs = new ArrayList<>();
-    private final Set<Long> full = new HashSet<>();
-    private boolean keeps;
-
-    private final Front front = new Front() {
-        @Override
-        public void served(long tag, Object result) {
-            told.add(result == null ? "whole " + tag : "served " + tag + " " + new String((byte[]) result));
-        }
-
-        @Override
-        public void begun(long tag, Object stream) {
-            told.add("begun " + tag + " " + stream);
-        }
-
-        @Override
-        public void concluded(long tag, Object word) {
-            told.add("concluded " + tag + " " + word);
-        }
-
-        @Override
-        public void refused(long tag, long retryAfterMs) {
-            told.add("refused " + tag);
-        }
-
-        @Override
-        public void failed(long tag, Failure why) {
-            told.add("failed " + tag + " " + why);
-        }
-    };
-
-    private static Engine engine(long id, EngineState state) {
-        return new Engine(id, 0, 0, 0, 0, state);
-    }
+    private final Sides sides = new Sides(Sides.TWO_LANES);
+    private final Gateway gateway = sides.gateway;
+    private final List<Gateway.Attempt> sent = sides.sent;
+    private final List<String> told = sides.told;
+    private final List<Gateway.Request> kept = sides.kept;
 
     private long ask(int queryClass, long tag, long budgetUs) {
-        return gateway.accept(front, tag, "id" + tag, queryClass, 1, budgetUs, new byte[0]);
+        return gateway.accept(sides, tag, "id" + tag, queryClass, 1, budgetUs, new byte[0]);
     }
 
     private void pass(long us) {
-        for (long end = time + us; time < end;) {
-            time = Math.max(time, Math.min(end, deadlines.next()));
-            deadlines.run(time);
-        }
+        sides.pass(us);
     }
 
     @BeforeEach
     void start() {
-        gateway.start(engines, List.of(engine(7, EngineState.READY), engine(8, EngineState.READY)));
+        sides.start(7, 8);
     }
 
     @Test
     void nothingGoesWhereItsTenantHasNoRoom() {
-        full.addAll(Set.of(7L, 8L));
+        sides.full.addAll(Set.of(7L, 8L));
         ask(0, 1, 3_000_000);
         assertEquals(List.of(), sent, "held where none has room");
-        full.remove(8L);
+        sides.full.remove(8L);
         pass(100_000);
         assertEquals(List.of(8L), sent.stream().map(attempt -> attempt.engine).toList());
         gateway.ended(sent.get(0), Outcome.OK, null, new byte[0]);
-        assertEquals(List.of("8 OK"), overs);
+        assertEquals(List.of("8 OK"), sides.overs);
     }
 
     @Test
     void whatIsKeptBeforeTheModuleIsAdmittedTurnedAwayOrOver() {
-        keeps = true;
+        sides.keeps = true;
         long given = ask(0, 1, 500_000);
         ask(0, 2, 500_000);
         ask(0, 3, 500_000);
@@ -199,7 +84,7 @@
 
     @Test
     void anEndInsideASendDoesNotReenterTheModule() {
-        atOnce = Outcome.CONNECT_FAILED;
+        sides.atOnce = Outcome.CONNECT_FAILED;
         ask(1, 1, 20_000_000);
         pass(21_000_000);
         assertTrue(sent.size() <= 3, sent.size() + " attempts");
@@ -218,7 +103,7 @@
 
     @Test
     void aStreamThatHasBegunIsNeverTriedAgainAndHasNoDeadline() {
-        gateway.accept(front, 1, "a", 0, 1, 4_000_000, new byte[0]);
+        gateway.accept(sides, 1, "a", 0, 1, 4_000_000, new byte[0]);
         gateway.begun(sent.get(0), "stream");
         pass(60_000_000);
         assertEquals(List.of("begun 1 stream"), told, "no deadline of ours ends it");
@@ -226,7 +111,7 @@
         pass(10_000_000);
         assertEquals(List.of("begun 1 stream", "failed 1 CUT"), told);
         assertEquals(1, sent.size());
-        gateway.accept(front, 2, "b", 0, 1, 4_000_000, new byte[0]);
+        gateway.accept(sides, 2, "b", 0, 1, 4_000_000, new byte[0]);
         gateway.begun(sent.get(1), "stream");
         gateway.ended(sent.get(1), Outcome.OK, null, null);
         assertEquals("whole 2", told.get(3));
@@ -237,7 +122,7 @@
     @Test
     void aFinalWordOnTheRequestIsNoFaultOfItsEngine() {
         for (int i = 0; i < 20; i++) {
-            gateway.accept(front, i, "a", 0, 1, 4_000_000, new byte[0]);
+            gateway.accept(sides, i, "a", 0, 1, 4_000_000, new byte[0]);
             gateway.concluded(sent.get(i), null, "too long");
             assertEquals("concluded " + i + " too long", told.get(i));
             assertEquals(sent.get(0).engine, sent.get(i).engine);
@@ -250,7 +135,7 @@
     @Test
     void aPinnedRequestIsNeitherTriedElsewhereNorRefusedOnceItMayHaveRun() {
         for (long pin : new long[] {7, 8}) {
-            gateway.accept(front, pin, "a", 0, 1, 4_000_000, new byte[0], "work", pin);
+            gateway.accept(sides, pin, "a", 0, 1, 4_000_000, new byte[0], "work", pin);
             assertEquals(pin, sent.get(sent.size() - 1).engine);
             assertTrue(sent.get(sent.size() - 1).request.isOnce());
             gateway.ended(sent.get(sent.size() - 1), Outcome.ERROR, null, null);
@@ -299,7 +184,7 @@
         gateway.disable(7);
         assertEquals(List.of("withdrawn 7"), told);
         gateway.roster(RosterKind.CHANGES, List.of(engine(7, EngineState.DRAINING), engine(8, EngineState.DRAINING)));
-        gateway.enable(7, time);
+        gateway.enable(7, sides.time);
         ask(0, 1, 4_000_000);
         assertEquals(List.of(), sent, "the list still forbids it");
         gateway.disable(7);
@@ -308,7 +193,7 @@
         assertEquals(List.of(), sent, "an operator forbids it");
         assertEquals(2, gateway.listed());
         assertEquals(1, gateway.avoided());
-        gateway.enable(7, time);
+        gateway.enable(7, sides.time);
         assertEquals(7, sent.get(0).engine);
         assertFalse(gateway.knows(9), "nobody has this id");
     }
@@ -316,9 +201,9 @@
     /** Looks up every 50 ms for so long; how often the engine that is down was sent to. */
     private int sentToDown(long us, Runnable each) {
         int before = sent.size();
-        for (long end = time + us; time < end; pass(50_000)) {
+        for (long end = sides.time + us; sides.time < end; pass(50_000)) {
             each.run();
-            ask(0, time, 1_000_000);
+            ask(0, sides.time, 1_000_000);
             while (sent.size() > ended) {
                 Gateway.Attempt attempt = sent.get(ended++);
                 gateway.ended(attempt, attempt.engine == down ? Outcome.CONNECT_FAILED : Outcome.OK, null, new byte[0]);
