--- /dev/null
+++ b/src/measure/java/calicostream/lease/TaskProcesses.java
@@ -0,0 +1,121 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.lease;
+
+import calicostream.cluster.Entry;
+import calicostream.cluster.Frame;
+import calicostream.cluster.MemberSession;
+import calicostream.cluster.Replicated;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** Processes with one task, on one log that answers at once, or not at all; in virtual time (nanoseconds). One thread. */
+final class TaskProcesses {
+    private static final long MILLI = 1_000_000;
+    private static final long TTL = 2_000 * MILLI;
+    private static final String NAME = "divide";
+
+    /** One process: what its task was called for and what its log says. */
+    final class Process {
+        final MemberSession session;
+        final List<String> calls = new ArrayList<>();
+        final List<String> events = new ArrayList<>();
+        final Tasks tasks;
+        boolean throwsNext;
+        boolean isCut;
+        long acted;
+
+        Process(int member) {
+            session = new MemberSession(new MemberSession.Settings(member, 60_000, 150, 8), List.of(1), (long) member << 40);
+            tasks = new Tasks(session, "lease", () -> now, event -> events.add(event.code() + " " + event.token()));
+            tasks.add(new Task() {
+                @Override
+                public String lease() {
+                    return NAME;
+                }
+
+                @Override
+                public void started(Acts acts) {
+                    calls.add("started");
+                }
+
+                @Override
+                public void step(Acts acts, long nowNanos) {
+                    calls.add("step");
+                    if (throwsNext) {
+                        throwsNext = false;
+                        throw new IllegalStateException("broken on purpose");
+                    }
+                    acts.tell(new byte[] {7}, outcome -> acted += outcome.accepted() ? 1 : 0).ifPresent(why -> {
+                        throw new AssertionError("an act of the holder was not taken: " + why);
+                    });
+                }
+
+                @Override
+                public void stopped() {
+                    calls.add("stopped");
+                }
+
+                @Override
+                public void heard(long token, byte[] payload, long nowNanos) {
+                    calls.add("heard " + payload[0]);
+                }
+            }, TTL);
+        }
+
+        long count(String call) {
+            return calls.stream().filter(call::equals).count();
+        }
+
+        /** All that it wants to send and what comes of it, until it is quiet. */
+        void exchange() {
+            for (List<MemberSession.Send> sends = session.tick(now); !sends.isEmpty() && !isCut; sends = session.tick(now)) {
+                for (MemberSession.Send send : sends) {
+                    Frame.Request request = (Frame.Request) Frame.decode(send.frame());
+                    session.received(1, new Frame.Reply(request.id(), 0, state.apply(++index, request.body())), now);
+                    for (Replicated.News news : state.takeNews()) {
+                        if (news.machine().equals("lease")) {
+                            processes.stream().filter(each -> !each.isCut).forEach(each -> each.tasks.news(news.event()));
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    private final LeaseMachine machine = new LeaseMachine();
+    private final LeaderWatch watch = new LeaderWatch(machine, 50 * MILLI);
+    private final Replicated state = new Replicated(Map.of("lease", machine));
+    private final List<Process> processes = new ArrayList<>();
+    private long now = 1_000 * MILLI;
+    private long index;
+
+    TaskProcesses(int size) {
+        state.apply(++index, new Entry.Era(1, 5).encode());
+        for (int member = 1; member <= size; member++) {
+            processes.add(new Process(member));
+        }
+        watch.eraBegan(state.era(), now);
+    }
+
+    private void turn() {
+        processes.forEach(each -> {
+            each.tasks.tick();
+            each.exchange();
+        });
+        for (byte[] body : watch.due(now)) {
+            state.apply(++index, new Entry.Timed(state.era(), "lease", body).encode());
+        }
+    }
+
+    void pass(long millis) {
+        for (long left = millis; left > 0; left -= 50) {
+            now += 50 * MILLI;
+            turn();
+        }
+    }
+
+    Process get(int place) {
+        return processes.get(place);
+    }
+}
