--- /dev/null
+++ b/src/measure/java/calicostream/lease/TrialsPair.java
@@ -0,0 +1,63 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.lease;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeSet;
+
+/** One process that tells of its trials, and another that hears each thing twice, or not; in virtual time (nanoseconds). One thread. */
+final class TrialsPair {
+    static final long MILLI = 1_000_000;
+    private static final long TICK = 50 * MILLI;
+
+    /** A process: engines 1 to 9, of which some are left out. */
+    static final class Process implements Trials.FrontEnd {
+        final TreeSet<Long> out = new TreeSet<>();
+        final TreeSet<Long> listed = new TreeSet<>(List.of(1L, 2L, 3L, 4L, 5L, 6L, 7L, 8L, 9L));
+        final List<String> hinted = new ArrayList<>();
+        final Trials trials = new Trials(this);
+
+        @Override
+        public Trials.View view() {
+            return new Trials.View(listed.stream().filter(out::contains).mapToLong(id -> id).toArray(),
+                    listed.stream().filter(id -> !out.contains(id)).mapToLong(id -> id).toArray());
+        }
+
+        @Override
+        public void hinted(long engine, boolean served) {
+            hinted.add(engine + (served ? " served" : " out"));
+        }
+    }
+
+    long now;
+    /** What is told now does not reach the other. */
+    boolean isLost;
+    final Process holder = new Process();
+    final Process other = new Process();
+    /** All that was told. */
+    final List<byte[]> words = new ArrayList<>();
+    private final Holder held = new Holder(Trials.LEASE, 1000 * 1000 * MILLI, 0);
+    private final Acts acts = new Acts(held, () -> now, "lease", (machine, body, done) ->
+            words.add(((LeaseCommand.Act) LeaseCommand.decode(body)).payload()));
+
+    /** The one gets the lease. */
+    void hold() {
+        held.want();
+        held.answered(now, held.next(now).number(), new LeaseAnswer.Holds(4));
+        holder.trials.started(acts);
+    }
+
+    void pass(long millis) {
+        for (long until = now + millis * MILLI; now < until; now += TICK) {
+            int before = words.size();
+            holder.trials.step(acts, now);
+            for (byte[] word : words.subList(before, words.size())) {
+                holder.trials.heard(4, word, now);
+                if (!isLost) {
+                    other.trials.heard(4, word, now);
+                    other.trials.heard(4, word, now); // There twice.
+                }
+            }
+        }
+    }
+}
