--- /dev/null
+++ b/src/measure/java/calicostream/cluster/raft/RecallGroup.java
@@ -0,0 +1,88 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.cluster.raft;
+
+import calicostream.cluster.Frame;
+import calicostream.durable.Amnesia.Own;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Voters that ask each other before their first word; frames are handed over by hand. One thread. */
+final class RecallGroup {
+    static final int PATIENCE = 4;
+    private static final List<Voter> FIRST = List.of(new Voter(1, 0), new Voter(2, 0), new Voter(3, 0));
+
+    /** A voter's process and what it kept. */
+    final class Side implements Recall.Keeper {
+        final Recall recall;
+        private final boolean grouped;
+        private byte[] memory;
+        String barred = "";
+        int admissions;
+
+        Side(Voter self, Own own, byte[] memory, boolean grouped) {
+            this.grouped = grouped;
+            this.memory = memory;
+            recall = new Recall(self, FIRST, FIRST, own, memory, ++nonces, PATIENCE, this);
+        }
+
+        @Override
+        public void memory(byte[] bytes) {
+            memory = bytes;
+        }
+
+        @Override
+        public void bar(String why) {
+            barred = why;
+        }
+
+        @Override
+        public void admit() {
+            admissions++;
+        }
+    }
+
+    private long nonces;
+    private final Map<Integer, Side> sides = new TreeMap<>();
+
+    /** Again, with what it remembers of its peers, if it has run here before. */
+    Side start(int member, Own own) {
+        Side before = sides.get(member);
+        sides.put(member, new Side(new Voter(member, 0), own, before == null ? null : before.memory, own.lastIndex() > 0));
+        return sides.get(member);
+    }
+
+    /** Beats at all, with all answers, for some rounds; who is not among {@code up} hears nothing. */
+    void rounds(int rounds, Integer... up) throws IOException {
+        List<Integer> there = List.of(up);
+        for (int i = 0; i < rounds; i++) {
+            for (int member : there) {
+                List<Recall.Send> asks = new ArrayList<>(sides.get(member).recall.beat());
+                for (Recall.Send ask : asks) {
+                    if (there.contains(ask.member())) {
+                        Side peer = sides.get(ask.member());
+                        for (Recall.Send told : peer.recall.received(member, (Frame.Recall) Frame.decode(ask.frame()), peer.grouped)) {
+                            sides.get(member).recall.received(ask.member(), (Frame.Recalled) Frame.decode(told.frame()), sides.get(member).grouped);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /** One that is none of the first voters, and has kept nothing. */
+    Side join(int member, Own own) {
+        sides.put(member, new Side(new Voter(member, 0), own, null, false));
+        return sides.get(member);
+    }
+
+    Side get(int member) {
+        return sides.get(member);
+    }
+
+    Recall.State state(int member) {
+        return sides.get(member).recall.state();
+    }
+}
