Test: a killed leader, full disks and older folders are judged once, in the rig

Need: the same scenarios stood at two levels, in one process or few and again with relays. Change, each removed scenario with its new place: - MemberProcessTest.quorumOutlivesAKilledLeaderAndAFullDiskAndAMinorityServesOn: the kill is MembersTest.killedLeaderIsFollowedBy...; the leader's full disk, readiness, refused wish and the line of a lost quorum are MembersTest.fullAndReadOnly..., whose full disk is now the leader's and whose read-only one a follower's (before: both followers'); the first voters are looked at in MembersTest.start.

--- a/src/measure/java/calicostream/cluster/process/MemberProcess.java
+++ b/src/measure/java/calicostream/cluster/process/MemberProcess.java
@@ -28,23 +28,21 @@
     final Process process;
     private final StringBuffer lines = new StringBuffer();
     private final CompletableFuture<Integer> admin = new CompletableFuture<>();
-    private final CompletableFuture<Integer> front = new CompletableFuture<>();
     private final Thread reader;
 
-    /** Without engines behind its front end. */
+    /**
+     * Without engines behind its front end.
+     *
+     * @param options of the virtual machine
+     */
     MemberProcess(Path folder, int changelogPort, String cluster, String... options) throws IOException {
-        this(folder, changelogPort, List.of(), cluster, options);
-    }
-
-    /** @param options of the virtual machine */
-    MemberProcess(Path folder, int changelogPort, List<String> engines, String cluster, String... options) throws IOException {
         Files.createDirectories(folder);
         List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx96m", "-Dcalicostream.deploy=" + folder));
         command.addAll(List.of(options));
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), "calicostream.Main", "serve"));
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
-        builder.environment().put("NODE_CONFIG", Program.configure(folder, 0, changelogPort, engines, 1024).toString());
+        builder.environment().put("NODE_CONFIG", Program.configure(folder, 0, changelogPort, List.of(), 1024).toString());
         builder.environment().put("TMPDIR", folder.toString());
         builder.environment().put("NODE_CLUSTER", Files.writeString(folder.resolve("cluster.toml"), cluster).toString());
         process = builder.start();
@@ -83,16 +81,12 @@
                 lines.append(line).append('\n');
                 if (line.contains("operators call on port")) {
                     admin.complete(Program.portIn(line));
-                } else if (line.contains(" - listens on port") || line.contains("] INFO") && line.contains(" listens on port")
-                        && !line.contains("cluster listens")) {
-                    front.complete(Program.portIn(line));
                 }
             }
         } catch (IOException e) {
             lines.append(e).append('\n');
         }
         admin.completeExceptionally(new IllegalStateException("ended:\n" + lines));
-        front.completeExceptionally(new IllegalStateException("ended:\n" + lines));
     }
 
     String lines() {
@@ -103,10 +97,6 @@
         return admin.get(PATIENCE_S, TimeUnit.SECONDS);
     }
 
-    int front() throws Exception {
-        return front.get(PATIENCE_S, TimeUnit.SECONDS);
-    }
-
     JsonObject signs() throws Exception {
         String answer = Program.call(admin(), "GET /-/cluster");
         if (!answer.startsWith("HTTP/1.1 200 ")) {
--- a/src/measure/java/calicostream/rig/Fleet.java
+++ b/src/measure/java/calicostream/rig/Fleet.java
@@ -316,6 +316,11 @@
         return Program.call(admins.get(member), "POST /-/cluster/" + words);
     }
 
+    /** Whether its front end is ready, as the operators' address says. */
+    boolean isReady(int member) throws IOException {
+        return Program.call(admins.get(member), "GET /-/ready").startsWith("HTTP/1.1 200 ");
+    }
+
     /** Waits until the member's signs are so. */
     JsonObject awaitSigns(int member, String what, Predicate<JsonObject> so) throws Exception {
         JsonObject[] last = new JsonObject[1];
--- a/src/test/java/calicostream/cluster/process/MemberProcessTest.java
+++ b/src/test/java/calicostream/cluster/process/MemberProcessTest.java
@@ -5,15 +5,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import calicostream.wire.ChangeLogStand;
-import calicostream.wire.Program;
-import calicostream.wire.RespStand;
 import com.eclipsesource.json.JsonObject;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -24,29 +20,24 @@
     @TempDir
     private Path folder;
     private final List<MemberProcess> members = new ArrayList<>();
-    private final Map<Integer, ChangeLogStand> changes = new HashMap<>();
+    private ChangeLogStand changes;
     private List<Integer> ports;
-    private List<String> engines = List.of();
 
     @BeforeEach
     void choosePorts() throws Exception {
-        for (int number = 1; number <= 4; number++) {
-            changes.put(number, new ChangeLogStand());
-        }
+        changes = new ChangeLogStand();
         ports = MemberProcess.ports(4);
     }
 
     @AfterEach
     void end() throws Exception {
         members.forEach(MemberProcess::close);
-        for (ChangeLogStand each : changes.values()) {
-            each.close();
-        }
+        changes.close();
     }
 
     private MemberProcess start(int number, String own, String... options) throws Exception {
-        MemberProcess out = new MemberProcess(folder.resolve("m" + number), changes.get(number).port(), engines,
-                MemberProcess.settings(number, ports, own), options);
+        MemberProcess out = new MemberProcess(folder.resolve("m" + number), changes.port(), MemberProcess.settings(number, ports, own),
+                options);
         members.add(out);
         return out;
     }
@@ -55,76 +46,22 @@
         return signs.get("session_alive").asBoolean() && signs.get("leader").asInt() != 0 && signs.get("no_quorum_ms").asLong() == 0;
     }
 
-    private static int led(MemberProcess member) throws Exception {
-        return member.await("settled", MemberProcessTest::settled).get("leader").asInt();
+    private static boolean votes(JsonObject signs) {
+        return settled(signs) && signs.get("state").asString().equals("voter");
     }
 
-    private void startThree(String... options) throws Exception {
+    @Test
+    void operatorsReplaceALostVoterByASpareAndThatByTheNextGeneration() throws Exception {
         for (int number = 1; number <= 3; number++) {
-            start(number, "", options);
+            start(number, "");
         }
         for (MemberProcess each : members) {
             each.await("a voter", MemberProcessTest::votes);
         }
-    }
-
-    private static boolean votes(JsonObject signs) {
-        return settled(signs) && signs.get("state").asString().equals("voter");
-    }
-
-    @Test
-    void quorumOutlivesAKilledLeaderAndAFullDiskAndAMinorityServesOn() throws Exception {
-        try (RespStand engine = new RespStand()) {
-            engines = List.of(Program.endpoint("e1", engine.address(), "Ready", 0));
-            startThree(FaultyDisks.OPTION);
-            assertEquals("[\"1.0\",\"2.0\",\"3.0\"]", members.get(0).signs().get("voters").toString());
-            int first = led(members.get(0));
-            MemberProcess killed = members.get(first - 1);
-            long applied = killed.signs().get("applied").asLong();
-            killed.close();
-            MemberProcess other = members.get(first % 3);
-            assertTrue(other.await("led by another", signs -> settled(signs) && signs.get("leader").asInt() != first)
-                    .get("applied").asLong() >= applied);
-            MemberProcess back = start(first, "", FaultyDisks.OPTION);
-            JsonObject signs = back.await("back", each -> votes(each) && each.get("applied").asLong() > applied);
-            assertEquals(2, signs.get("disk").asObject().get("incarnation").asLong());
-
-            int second = led(back);
-            MemberProcess leader = members.get(second - 1);
-            changes.get(second).follow();
-            leader.front();
-            Files.writeString(folder.resolve("m" + second).resolve("data").resolve("fault"), "full");
-            signs = leader.await("failed", each -> each.get("state").asString().equals("failed"));
-            assertTrue(signs.get("why").asString().startsWith("disk-full: "), signs.toString());
-            assertEquals("full", signs.get("disk").asObject().get("state").asString());
-            leader.await("in its session by the others", each -> each.get("session_alive").asBoolean() && !each.get("leads").asBoolean());
-            serves(leader, engine, 1);
-
-            for (MemberProcess each : members) {
-                if (each != leader) {
-                    each.close();
-                }
-            }
-            leader.await("without a quorum", each -> each.get("no_quorum_ms").asLong() > 0 && !each.get("session_alive").asBoolean());
-            serves(leader, engine, 2);
-            assertTrue(leader.ask("voters/4.0/add").contains("cluster-not-leader"));
-            assertTrue(leader.lines().contains("no quorum was heard for "), leader.lines());
-            leader.process.toHandle().destroy();
-            assertEquals(143, leader.awaitExit());
-        }
-    }
-
-    private static void serves(MemberProcess member, RespStand engine, int number) throws Exception {
-        Program.ask(member.front(), engine, number);
-        assertTrue(Program.call(member.admin(), "GET /-/ready").startsWith("HTTP/1.1 200 "));
-    }
-
-    @Test
-    void operatorsReplaceALostVoterByASpareAndThatByTheNextGeneration() throws Exception {
-        startThree();
         MemberProcess spare = start(4, "");
-        assertEquals("spare", spare.await("settled", MemberProcessTest::settled).get("state").asString());
-        int gone = 1 + led(spare) % 3;
+        JsonObject settled = spare.await("settled", MemberProcessTest::settled);
+        assertEquals("spare", settled.get("state").asString());
+        int gone = 1 + settled.get("leader").asInt() % 3;
         members.remove(gone - 1).close();
         MemberProcess leader = members.get(0).signs().get("leads").asBoolean() ? members.get(0) : members.get(1);
         String same = leader.ask("voters/" + gone + ".0/replace/" + gone + ".0");
@@ -172,6 +109,10 @@
         Path data = folder.resolve("m1").resolve("data");
         Files.move(data, folder.resolve("m2").resolve("data"));
         refused(start(2, ""), "folder-foreign: ", "or start this member with an empty one as a learner");
+        Files.move(folder.resolve("m2").resolve("data"), data);
+        ports = List.of(ports.get(1), ports.get(0), ports.get(2), ports.get(3));
+        MemberProcess moved = start(1, ""); // Another address is the same member still.
+        moved.await("asking", signs -> signs.get("state").asString().equals("asking"));
     }
 
     private static void refused(MemberProcess second, String code, String remedy) throws Exception {
--- a/src/test/java/calicostream/rig/MembersTest.java
+++ b/src/test/java/calicostream/rig/MembersTest.java
@@ -5,15 +5,12 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import calicostream.cluster.process.Folders;
 import com.eclipsesource.json.JsonObject;
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
-import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeAll;
@@ -42,6 +39,7 @@
     void start(@TempDir Path folder) throws Exception {
         fleet = new Fleet(folder, Fleet.Plan.of(5, 3), history, ASK_EVERY_MS);
         fleet.startAll();
+        assertEquals("[\"1.0\",\"2.0\",\"3.0\"]", fleet.signs(fleet.awaitLeader(VOTERS)).get("voters").toString());
     }
 
     @BeforeEach
@@ -135,6 +133,29 @@
         assertServedThroughout(others(leader));
     }
 
+    private static boolean votes(JsonObject signs) {
+        return signs.getString("state", "").equals("voter") && signs.getBoolean("session_alive", false)
+                && signs.getInt("no_quorum_ms", 1) == 0 && signs.getInt("leader", 0) != 0;
+    }
+
+    @Test
+    void killedLeaderIsFollowedByOneThatHasItsLogAndComesBackAsAVoter() throws Exception {
+        int leader = fleet.awaitLeader(VOTERS);
+        JsonObject before = fleet.signs(leader);
+        long applied = before.getLong("applied", 0);
+        fleet.kill(leader);
+        int next = fleet.awaitLeader(others(VOTERS, leader));
+        fleet.awaitSigns(next, "all that was applied", signs -> votes(signs) && signs.getLong("applied", 0) >= applied);
+        fleet.start(leader);
+        JsonObject back = fleet.awaitSigns(leader, "its vote", signs -> votes(signs) && signs.getLong("applied", 0) > applied);
+        assertEquals(incarnation(before) + 1, incarnation(back));
+        assertServedThroughout(others(leader));
+    }
+
+    private static long incarnation(JsonObject signs) {
+        return signs.get("disk").asObject().get("incarnation").asLong();
+    }
+
     @Test
     void minorityServesOnAndAllVotersComeBack() throws Exception {
         long applied = fleet.signs(1).getLong("applied", 0);
@@ -171,15 +192,14 @@
         int voter = others(VOTERS, leader).get(0);
         Path older = fleet.data(voter).resolveSibling("older");
         fleet.proc(voter).signal("STOP");
-        copy(fleet.data(voter), older); // As it would be found after a crash.
+        Folders.copy(fleet.data(voter), older); // As it would be found after a crash.
         fleet.proc(voter).signal("CONT");
         long seen = fleet.signs(voter).getLong("applied", 0);
         fleet.awaitSigns(voter, "more of the log", signs -> signs.getLong("applied", 0) > seen + 3);
         fleet.kill(voter);
-        delete(fleet.data(voter));
-        copy(older, fleet.data(voter));
+        Folders.delete(fleet.data(voter));
+        Folders.copy(older, fleet.data(voter));
         fleet.start(voter);
-        fleet.awaitSigns(voter, "that it forgot", signs -> signs.getString("state", "").equals("barred"));
         readmit(voter);
         assertServedThroughout(others(voter));
     }
@@ -194,18 +214,21 @@
         fleet.kill(voter);
         fleet.disk(voter, RigDisks.Lie.HONEST, 0);
         fleet.start(voter);
-        fleet.awaitSigns(voter, "that it forgot", signs -> signs.getString("state", "").equals("barred"));
         readmit(voter);
         assertServedThroughout(others(voter));
     }
 
-    /** As the operators' page says for a member whose folder forgot. */
+    /** Barred, it is in its session, and comes back as the operators' page says for a member whose folder forgot. */
     private void readmit(int voter) throws Exception {
-        JsonObject barred = fleet.signs(voter);
+        JsonObject barred = fleet.awaitSigns(voter, "that it forgot", signs -> signs.getString("state", "").equals("barred")
+                && signs.getBoolean("session_alive", false));
+        assertTrue(!barred.getString("why", "").isEmpty() && barred.get("disk").asObject().getBoolean("barred", false), barred.toString());
         int before = barred.getInt("generation", 0);
         assertEquals(STOPPED, fleet.stop(voter));
         fleet.generation(voter, before + 1);
         fleet.start(voter);
+        JsonObject spare = fleet.awaitSigns(voter, "a session", signs -> signs.getBoolean("session_alive", false));
+        assertEquals("spare", spare.getString("state", ""), spare.toString());
         String old = voter + "." + before;
         String next = voter + "." + (before + 1);
         Await.until(() -> isDone(others(VOTERS, voter), old, next), () -> old + " was not replaced by " + next);
@@ -228,29 +251,42 @@
 
     @Test
     void fullAndReadOnlyDisksAreNamedAndCostTheirVotersUntilARestart() throws Exception {
-        int leader = fleet.awaitLeader(VOTERS);
-        List<Integer> rest = others(VOTERS, leader);
-        fleet.disk(rest.get(0), RigDisks.Lie.FULL, 0);
-        fleet.disk(rest.get(1), RigDisks.Lie.READ_ONLY, 0);
-        for (int voter : rest) {
-            String code = voter == rest.get(0) ? "disk-full" : "disk-read-only";
-            fleet.awaitSigns(voter, code, signs -> signs.getString("state", "").equals("failed")
-                    && signs.get("disk").asObject().getString("trouble", "").contains(code));
-        }
+        int full = fleet.awaitLeader(VOTERS);
+        awaitFailed(full, RigDisks.Lie.FULL, "full");
+        fleet.awaitSigns(full, "its session by the others", signs -> signs.getBoolean("session_alive", false)
+                && !signs.getBoolean("leads", true));
+        int leader = fleet.awaitLeader(others(VOTERS, full));
+        int readOnly = others(others(VOTERS, full), leader).get(0);
+        assertTrue(fleet.isReady(full));
+        awaitFailed(readOnly, RigDisks.Lie.READ_ONLY, "read_only");
         fleet.awaitSigns(leader, "no quorum", signs -> signs.getInt("no_quorum_ms", 0) > 0);
+        fleet.awaitSigns(full, "no quorum", signs -> signs.getInt("no_quorum_ms", 0) > 0 && !signs.getBoolean("session_alive", true));
         assertServedThroughout(Set.copyOf(ALL));
-        for (int voter : rest) {
+        assertTrue(fleet.isReady(full));
+        assertTrue(fleet.tell(full, "voters/4.0/add").contains("cluster-not-leader"));
+        fleet.proc(full).awaitLine("no quorum was heard for ");
+        List<Integer> failed = List.of(full, readOnly);
+        for (int voter : failed) {
             assertEquals(STOPPED, fleet.stop(voter));
             fleet.disk(voter, RigDisks.Lie.HONEST, 0);
             fleet.launch(voter);
         }
-        for (int voter : rest) {
+        for (int voter : failed) {
             fleet.awaitServing(voter);
             fleet.awaitSigns(voter, "to vote again", signs -> signs.getString("state", "").equals("voter")
                     && signs.getInt("leader", 0) > 0);
         }
     }
 
+    private void awaitFailed(int voter, RigDisks.Lie lie, String named) throws Exception {
+        fleet.disk(voter, lie, 0);
+        String code = "disk-" + named.replace('_', '-');
+        JsonObject signs = fleet.awaitSigns(voter, code, each -> each.getString("state", "").equals("failed")
+                && each.get("disk").asObject().getString("trouble", "").contains(code));
+        assertTrue(signs.getString("why", "").startsWith(code + ": "), signs.toString());
+        assertEquals(named, signs.get("disk").asObject().getString("state", ""));
+    }
+
     @Test
     void leaderOnASlowDiskLosesTheLeadAndServesOn() throws Exception {
         int leader = fleet.awaitLeader(VOTERS);
@@ -264,24 +300,4 @@
         assertServedThroughout(Set.copyOf(ALL));
         fleet.awaitSigns(leader, "another leader", signs -> signs.getInt("leader", 0) > 0 && signs.getBoolean("session_alive", false));
     }
-
-    private static void copy(Path from, Path to) throws IOException {
-        try (Stream<Path> all = Files.walk(from)) {
-            all.forEach(each -> {
-                try {
-                    Files.copy(each, to.resolve(from.relativize(each).toString()));
-                } catch (IOException e) {
-                    throw new UncheckedIOException(e);
-                }
-            });
-        }
-    }
-
-    private static void delete(Path folder) throws IOException {
-        try (Stream<Path> all = Files.walk(folder)) {
-            for (Path each : all.sorted((a, b) -> b.compareTo(a)).toList()) {
-                Files.delete(each);
-            }
-        }
-    }
 }
