--- a/src/test/java/calicostream/cluster/process/MemberProcessTest.java
+++ b/src/test/java/calicostream/cluster/process/MemberProcessTest.java
@@ -17,6 +17,7 @@
 
 /** Members in processes of the program itself, seen by the operators' address alone. */
 class MemberProcessTest {
+    private static final int MOST_SAID = 20;
     @TempDir
     private Path folder;
     private final List<MemberProcess> members = new ArrayList<>();
@@ -79,19 +80,22 @@
         next.await("led by somebody", each -> each.get("leader").asInt() > 0);
     }
 
-    /** Says it to whoever leads, until it is done. */
+    /** Says it to whoever leads, and again to whoever leads by then where it ends with another's lead, until it is done. */
     private void wish(String words) throws Exception {
-        for (MemberProcess each : members) {
-            String answer = each.ask(words);
-            if (answer.startsWith("HTTP/1.1 202 ")) {
-                String end = each.await("done", signs -> signs.get("wish").asString().startsWith(words + ": ")
-                        && !signs.get("wish").asString().contains(": under way")).get("wish").asString();
-                assertEquals(words + ": done", end);
-                return;
+        String end = "";
+        for (int said = 0; said < MOST_SAID && !end.endsWith(": done"); said++) {
+            for (MemberProcess each : members) {
+                String answer = each.ask(words);
+                if (answer.startsWith("HTTP/1.1 202 ")) {
+                    end = each.await("over", signs -> signs.get("wish").asString().startsWith(words + ": ")
+                            && !signs.get("wish").asString().contains(": under way")).get("wish").asString();
+                    assertTrue(end.endsWith(": done") || end.contains(" leads now: "), end);
+                    break;
+                }
+                assertTrue(answer.contains("cluster-not-leader: "), answer);
             }
-            assertTrue(answer.contains("cluster-not-leader: "), answer);
         }
-        throw new AssertionError("nobody leads");
+        assertEquals(words + ": done", end);
     }
 
     /** Each ends with its line and the exit code 2, while the first process goes on. */
