Rig: a stop has taken hold once it was sent, turns are told from the signs

On a starved machine a control run missed the late act of a stopped holder; likely the holder went on after kill returned, before SIGSTOP reached all its threads. Another run took a former holder for the present one.

--- a/src/measure/java/calicostream/rig/Proc.java
+++ b/src/measure/java/calicostream/rig/Proc.java
@@ -4,6 +4,8 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -92,13 +94,21 @@
         return process.isAlive();
     }
 
-    /** By the name that {@code kill} knows it by. */
-    void signal(String signal) throws IOException, InterruptedException {
+    /** By the name that {@code kill} knows it by. STOP has taken hold when this returns, where the system tells it. */
+    void signal(String signal) throws Exception {
         if (process.isAlive()) {
             new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+            if (signal.equals("STOP") && Files.exists(stat())) {
+                // One thread hears of it and tells the others: until it has run, on a busy machine, they go on.
+                Await.until(() -> Files.readString(stat()).replaceFirst(".*\\) ", "").startsWith("T"), () -> name + " does not stop");
+            }
         }
     }
 
+    private Path stat() {
+        return Path.of("/proc", Long.toString(process.pid()), "stat");
+    }
+
     /** SIGKILL, and gone. */
     void kill() throws InterruptedException {
         process.destroyForcibly();
--- a/src/test/java/calicostream/rig/LeasesTest.java
+++ b/src/test/java/calicostream/rig/LeasesTest.java
@@ -90,7 +90,7 @@
         } finally {
             proc.signal("CONT");
         }
-        Await.until(() -> !acts(holder, next.at()).isEmpty(), () -> holder + " did not act after it was stopped");
+        Await.until(() -> !acts(holder, next.at()).isEmpty(), () -> holder + " did not act after it was stopped: " + acts.copy().acts());
         Act late = acts(holder, next.at()).get(0);
         assertTrue(late.token() < next.token(), late + " after " + next);
         return late;
@@ -137,20 +137,25 @@
                 .allMatch(a -> a.at() < next.at()), "its last act comes before the first of its successor");
     }
 
-    /** As operators see it: who does not hold is in the queue. */
-    private void awaitOthersWait(String holder) throws Exception {
-        for (int member = 1; member <= 5; member++) {
-            if (member != number(holder)) {
-                fleet.awaitSigns(member, "waiting for its turn", signs -> signs.get("layers").asObject().get("lease").asObject().get("tasks")
-                        .asObject().get(RigTasks.LEASE).asObject().get("state").asString().equals("waiting"));
+    /** Who acts, once operators see that it holds and all others are in the queue. */
+    private String awaitTurns() throws Exception {
+        Await.until(() -> {
+            String holder = lastDone().who();
+            for (int member = 1; member <= 5; member++) {
+                String state = fleet.signs(member).get("layers").asObject().get("lease").asObject().get("tasks").asObject()
+                        .get(RigTasks.LEASE).asObject().get("state").asString();
+                if (!state.equals(member == number(holder) ? "held" : "waiting")) {
+                    return false;
+                }
             }
-        }
+            return true;
+        }, () -> "the others than " + lastDone() + " don't wait");
+        return lastDone().who();
     }
 
     @Test
     void killedHolderIsFollowedSoon() throws Exception {
-        String holder = lastDone().who();
-        awaitOthersWait(holder);
+        String holder = awaitTurns();
         long killed = System.nanoTime();
         fleet.kill(number(holder));
         awaitSuccessor(holder);
@@ -162,8 +167,7 @@
 
     @Test
     void plannedStopHandsOverAtOnce() throws Exception {
-        String holder = lastDone().who();
-        awaitOthersWait(holder);
+        String holder = awaitTurns();
         Proc proc = fleet.proc(number(holder));
         long stopped = System.nanoTime();
         assertEquals(143, fleet.stop(number(holder)));
