Budgets: floors open without a quorum by engines' counts; counting apart from the gate

Need: a start without a quorum never served at its floors. With S = 0 and L unknown its room, max(F - L, S), is nothing; engines' counts of all sessions, the only word on L then, were asked for once a lease, taken once, and always with in_hand beside them, so that no floor of at most in_hand opened (default 8).

A count that is asked for a lease after the start needs nothing beside it: the earlier process is dead, and what it sent has arrived or its connection is closed, as Doubts rests on already. Counts are asked for at first sight, five times a lease and at the moment from which they hold alone; the fewest holds.

--- a/src/main/java/calicostream/budget/Holdings.java
+++ b/src/main/java/calicostream/budget/Holdings.java
@@ -143,7 +143,7 @@
         }
     }
 
-    /** The engine itself says how many sessions earlier starts of this process have, with no connection of theirs left: floors without a quorum. */
+    /** The engine itself says how many sessions earlier starts of this process have at most, with nothing of theirs on its way: floors without a quorum. */
     public void leftRunning(int engine, long at, int sessions) {
         if (at == incarnation[engine] && at != 0) {
             left[engine] = Math.min(left[engine], sessions);
@@ -172,9 +172,9 @@
         }
     }
 
-    /** Whether what earlier starts may have left running at the engine is not known yet, so that its floor is closed. */
-    public boolean isLeftUnknown(int engine) {
-        return left[engine] == BudgetCommand.UNKNOWN;
+    /** Whether what earlier starts have left running at the engine, or may have for all that is known, takes of its floor. */
+    public boolean isFloorNarrowed(int engine) {
+        return left[engine] > 0 && floor[engine] > 0 && incarnation[engine] != 0;
     }
 
     /** The report to send now; its answer counts from this moment, on whichever try it is given. */
--- /dev/null
+++ b/src/main/java/calicostream/budget/Ledger.java
@@ -0,0 +1,175 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.budget;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What this process has begun, what of it has ended, is on its way or in doubt, and what its engines' counts say of that and of what an earlier
+ * process of its name may have left running. Owned by one thread; reads no clock: times are nanoseconds of this process's monotonic one.
+ *
+ * <p>An engine counts all that it runs, whoever sent it. The earlier process is dead, so nothing of it begins any more; what it had sent is at
+ * the engine, or its connection closed, once the travel time is over. A count asked for then bounds what it left; one asked for before does so
+ * with what may be on its way beside it.
+ */
+public final class Ledger {
+    private static final int LOOKS = 5; // in a travel time
+
+    /** A session begun by this process; it knows under which of the process's joins. */
+    public static final class Session {
+        private final int start;
+        private final int tenant;
+        private final int engine;
+        private final long incarnation;
+        private boolean arrived;
+
+        private Session(int start, int tenant, int engine, long incarnation) {
+            this.start = start;
+            this.tenant = tenant;
+            this.engine = engine;
+            this.incarnation = incarnation;
+        }
+    }
+
+    private final BudgetSettings settings;
+    private final long travelNanos;
+    private final Doubts doubts;
+    private final Map<Integer, Long> looks = new HashMap<>();
+    private Holdings holdings;
+    private Holdings former;
+    private int start;
+    private long startedAt;
+
+    /**
+     * @param travelNanos after which nothing that was sent, by a process that is dead or by a connection that is closed, is on its way
+     * @param now since when no other process of this name runs, or later
+     */
+    public Ledger(BudgetSettings settings, String process, long travelNanos, long now) {
+        this(settings, new Holdings(settings, process), travelNanos, now);
+    }
+
+    Ledger(BudgetSettings settings, Holdings holdings, long travelNanos, long now) {
+        this.settings = settings;
+        this.holdings = holdings;
+        this.travelNanos = travelNanos;
+        this.startedAt = now;
+        doubts = new Doubts(travelNanos);
+    }
+
+    /** The same process, but known to be the only one of its name only from now on. */
+    public void alone(long now) {
+        startedAt = now;
+    }
+
+    /** What it goes by now; another object after {@link #joined}. */
+    public Holdings holdings() {
+        return holdings;
+    }
+
+    /** Under a new session at the cluster: what runs counts as left running, and nothing is granted. */
+    public void joined() {
+        if (start++ > 0) {
+            former = holdings;
+            holdings = former.anew();
+        }
+    }
+
+    public boolean hasJoined() {
+        return start > 0;
+    }
+
+    /** The engine's incarnation by the list; an older one is no news. */
+    public void connected(int engine, long incarnation) {
+        if (incarnation > holdings.incarnation(engine)) {
+            doubts.replaced(engine);
+            holdings.connected(engine, incarnation);
+        }
+    }
+
+    /** Sent, in the turn in which it was found to have room. */
+    public Session begun(int tenant, int engine) {
+        holdings.begun(tenant, engine);
+        return new Session(start, tenant, engine, holdings.incarnation(engine));
+    }
+
+    /** The engine has it; said any number of times. */
+    public void arrived(Session session) {
+        if (!session.arrived) {
+            session.arrived = true;
+            Holdings by = by(session.start);
+            if (by != null) {
+                by.arrived(session.engine, session.incarnation);
+            }
+        }
+    }
+
+    /**
+     * It is over here.
+     *
+     * @param known that it is over at the engine too, or never came there
+     * @return whether a place is free for it; if not, its engine's counts will tell
+     */
+    public boolean over(Session session, boolean known, long now) {
+        arrived(session); // at the engine or nowhere: it is in hand no longer
+        if (known) {
+            ended(session.start, session.tenant, session.engine, session.incarnation);
+        } else {
+            doubts.add(new Doubts.Doubt(session.start, session.tenant, session.engine, session.incarnation, now));
+        }
+        return known;
+    }
+
+    /**
+     * How many sessions the engine runs of all processes together, as of that time or later.
+     *
+     * @return the tenants of the sessions in doubt that have ended by this, one for each
+     */
+    public List<Integer> counted(int engine, long askedAt, int running) {
+        List<Integer> tenants = new ArrayList<>();
+        for (Doubts.Doubt each : doubts.counted(engine, askedAt, running)) {
+            ended(each.start(), each.tenant(), engine, each.incarnation());
+            tenants.add(each.tenant());
+        }
+        if (former == null) { // else what counts as left is this living process's own too, which a count doesn't bound
+            int onTheWay = askedAt - startedAt >= travelNanos ? 0 : settings.inHand();
+            holdings.leftRunning(engine, holdings.incarnation(engine), Math.min(BudgetCommand.UNKNOWN, running + onTheWay));
+        }
+        return tenants;
+    }
+
+    /**
+     * Whether to ask the engine for its count now, since its floor is not whole and no grant says more; yes is said once for each time that it
+     * is due: at first sight, five times in a travel time, and in the moment from which a count needs nothing beside it.
+     */
+    public boolean isDue(int engine, long now) {
+        if (former != null || holdings.isLive() || !holdings.isFloorNarrowed(engine) || now < looks.getOrDefault(engine, now)) {
+            return false;
+        }
+        long whole = startedAt + travelNanos;
+        long next = now + travelNanos / LOOKS;
+        looks.put(engine, now < whole ? Math.min(next, whole) : next);
+        return true;
+    }
+
+    /** Sessions given up whose end no engine has told. */
+    public int inDoubt() {
+        return doubts.size();
+    }
+
+    /** Of this join, or of the one before, which counts as left running; older ones count until the engines tell. */
+    private Holdings by(int number) {
+        return number == start ? holdings : number == start - 1 ? former : null;
+    }
+
+    private void ended(int number, int tenant, int engine, long incarnation) {
+        Holdings by = by(number);
+        if (by != null) {
+            by.ended(tenant, engine, incarnation);
+            if (by == former) {
+                holdings.leftBy(former, engine);
+            }
+        }
+    }
+}
--- a/src/main/java/calicostream/budget/process/BudgetGate.java
+++ b/src/main/java/calicostream/budget/process/BudgetGate.java
@@ -8,8 +8,7 @@
 import calicostream.budget.BudgetException;
 import calicostream.budget.BudgetSettings;
 import calicostream.budget.Demand;
-import calicostream.budget.Doubts;
-import calicostream.budget.Holdings;
+import calicostream.budget.Ledger;
 import calicostream.budget.TenantQueues;
 import calicostream.budget.TenantRules;
 import calicostream.budget.Waits;
@@ -35,23 +34,8 @@
 public final class BudgetGate implements Engines {
     private static final long MICRO = 1_000; // ns
     private static final int REPORTS = 5; // a lease
-    private static final int UNKNOWN_LOOKS = 5; // reports between two questions to an engine of which too little is known
     private static final long TICK = 20_000; // us: no longer than what a request may notice
 
-    /** A session begun here. */
-    private static final class Begun {
-        final int start;
-        final int slot;
-        final long incarnation;
-        boolean heard;
-
-        Begun(int start, int slot, long incarnation) {
-            this.start = start;
-            this.slot = slot;
-            this.incarnation = incarnation;
-        }
-    }
-
     private record Asked(Wire.Ask ask, long at) { }
 
     private final Loop loop;
@@ -64,23 +48,19 @@
     private final Map<Long, Long> began = new HashMap<>();
     private final Map<Long, Engine> listed = new HashMap<>();
     private final Map<String, Long> gone = new HashMap<>();
-    private final Map<Gateway.Attempt, Begun> begun = new HashMap<>();
+    private final Map<Gateway.Attempt, Ledger.Session> begun = new HashMap<>();
     private final List<Set<Gateway.Request>> admitted = new ArrayList<>();
     private final Map<Long, Gateway.Request> kept = new HashMap<>();
     private final Map<Long, Asked> asks = new HashMap<>();
     private final Map<Long, ArrayDeque<Long>> probes = new HashMap<>();
     private final TenantQueues queues;
     private final Demand demand;
-    private final Doubts doubts;
+    private final Ledger ledger;
     private final long reportMicros;
-    private Holdings holdings;
-    private Holdings former;
     private Gateway gateway;
-    private int start;
     private int uncounted;
     private long numbers;
     private long reportAt;
-    private long reports;
     private long refused;
     private boolean serving;
 
@@ -95,10 +75,9 @@
         for (int t = 0; t < tenants; t++) {
             admitted.add(new HashSet<>());
         }
-        holdings = new Holdings(settings, process);
+        ledger = new Ledger(settings, process, settings.ttlNanos(), now());
         queues = new TenantQueues(settings, config.queue(), 1);
         demand = new Demand(tenants, settings.ttlNanos() / 2);
-        doubts = new Doubts(settings.ttlNanos());
         reportMicros = Math.max(10_000, settings.ttlNanos() / MICRO / REPORTS);
         wire.gate(() -> loop.post(this::joined), answer -> loop.post(() -> answered(answer)), ask -> loop.post(() -> ask(ask)));
     }
@@ -135,12 +114,12 @@
         Optional<String> pool = config.pool(engine.kind());
         if (pool.isPresent() && engine.state() != EngineState.GONE) {
             Integer known = slots.get(engine.id());
-            int slot = known != null ? known : holdings.engine(name(engine.id()), pool.get());
+            int slot = known != null ? known : ledger.holdings().engine(name(engine.id()), pool.get());
             if (known == null) {
                 slots.put(engine.id(), slot);
                 ids.add(engine.id());
             }
-            connected(slot, incarnation(engine.id()));
+            ledger.connected(slot, incarnation(engine.id()));
         }
         uncounted = (int) listed.values().stream().filter(each -> config.pool(each.kind()).isEmpty()).count();
         wire.list(listed.values().stream().filter(each -> config.pool(each.kind()).isPresent()).map(each -> new Wire.Listed(name(each.id()),
@@ -156,13 +135,6 @@
         return Long.toHexString(engine);
     }
 
-    private void connected(int slot, long incarnation) {
-        if (incarnation > holdings.incarnation(slot)) {
-            doubts.replaced(slot);
-            holdings.connected(slot, incarnation);
-        }
-    }
-
     // ---- Requests ------------------------------------------------------------------------------------------
     @Override
     public boolean admits(Gateway.Request request) {
@@ -186,7 +158,7 @@
     /** No more of a tenant's requests are with the module than could be sent: they can't crowd out another's. */
     private boolean mayAdmit(int tenant) {
         Set<Gateway.Request> with = admitted.get(tenant);
-        int free = uncounted > 0 ? Integer.MAX_VALUE : holdings.free(tenant, now());
+        int free = uncounted > 0 ? Integer.MAX_VALUE : ledger.holdings().free(tenant, now());
         if (with.size() >= free) {
             with.removeIf(Gateway.Request::isOver);
         }
@@ -196,7 +168,7 @@
     @Override
     public boolean mayUse(Gateway.Request request, long engine) {
         Integer slot = slots.get(engine);
-        return slot == null || holdings.mayUse(request.tenant, slot, now());
+        return slot == null || ledger.holdings().mayUse(request.tenant, slot, now());
     }
 
     @Override
@@ -204,38 +176,32 @@
         Integer slot = slots.get(attempt.engine);
         admitted.get(attempt.request.tenant).remove(attempt.request);
         if (slot != null) {
-            if (!holdings.mayUse(attempt.request.tenant, slot, now())) { // whatever the module asks
+            if (!ledger.holdings().mayUse(attempt.request.tenant, slot, now())) { // whatever the module asks
                 gateway.ended(attempt, Outcome.FULL, null, null);
                 return;
             }
-            holdings.begun(attempt.request.tenant, slot);
-            begun.put(attempt, new Begun(start, slot, holdings.incarnation(slot)));
+            begun.put(attempt, ledger.begun(attempt.request.tenant, slot));
         }
         engines.send(attempt);
     }
 
     @Override
     public void heard(Gateway.Attempt attempt) {
-        Begun session = begun.get(attempt);
-        Holdings by = session == null ? null : by(session.start);
-        if (by != null && !session.heard) {
-            session.heard = true;
-            by.arrived(session.slot, session.incarnation);
+        Ledger.Session session = begun.get(attempt);
+        if (session != null) {
+            ledger.arrived(session);
         }
     }
 
     @Override
     public void over(Gateway.Attempt attempt, Outcome outcome, Report report) {
-        heard(attempt); // at the engine or nowhere: it is in hand no longer
-        Begun session = begun.remove(attempt);
+        Ledger.Session session = begun.remove(attempt);
         if (session == null) {
             return;
         }
         boolean known = outcome != Outcome.TIMEOUT && outcome != Outcome.CANCELLED && outcome != Outcome.SPOILT;
-        if (known) {
-            ended(session.start, attempt.request.tenant, session.slot, session.incarnation);
-        } else {
-            doubts.add(new Doubts.Doubt(session.start, attempt.request.tenant, session.slot, session.incarnation, now()));
+        if (ledger.over(session, known, now())) {
+            queues.ended(attempt.request.tenant, now());
         }
         if (report != null) {
             counted(attempt.engine, report, attempt.sentAt * MICRO);
@@ -243,22 +209,6 @@
         soon();
     }
 
-    /** Of this start, or of the one before, which counts as left running; older ones count until the engines tell. */
-    private Holdings by(int number) {
-        return number == start ? holdings : number == start - 1 ? former : null;
-    }
-
-    private void ended(int number, int tenant, int slot, long incarnation) {
-        Holdings by = by(number);
-        if (by != null) {
-            by.ended(tenant, slot, incarnation);
-            if (by == former) {
-                holdings.leftBy(former, slot);
-            }
-        }
-        queues.ended(tenant, now());
-    }
-
     @Override
     public void reported(long engine, Report report) {
         ArrayDeque<Long> open = probes.getOrDefault(engine, new ArrayDeque<>());
@@ -277,16 +227,11 @@
             return;
         }
         int running = (int) Math.ceil(report.running());
-        for (Doubts.Doubt each : doubts.counted(slot, askedAt, running)) {
-            ended(each.start(), each.tenant(), slot, each.incarnation());
-        }
-        if (holdings.isLeftUnknown(slot)) {
-            holdings.leftRunning(slot, holdings.incarnation(slot), running + settings.inHand());
-        }
+        ledger.counted(slot, askedAt, running).forEach(tenant -> queues.ended(tenant, now()));
         Asked asked = asks.get(engine);
         if (asked != null && askedAt >= asked.at) { // A question from before proves nothing of what began since.
             asks.remove(engine);
-            wire.count(name(engine), new Wire.Counted(holdings.incarnation(slot), running, asked.ask.seen()));
+            wire.count(name(engine), new Wire.Counted(ledger.holdings().incarnation(slot), running, asked.ask.seen()));
         }
     }
 
@@ -313,7 +258,7 @@
     }
 
     private long next() {
-        return queues.next(0, this::mayAdmit, tenant -> holdings.sessions(tenant));
+        return queues.next(0, this::mayAdmit, tenant -> ledger.holdings().sessions(tenant));
     }
 
     private void turnAwayTheImpatient() {
@@ -330,6 +275,7 @@
     public void attach(Gateway to) {
         gateway = to;
         engines.attach(to);
+        ledger.alone(now()); // the member has its folder, and with it the name
         tick(loop.clock().now(), 0);
     }
 
@@ -338,16 +284,14 @@
         turnAwayTheImpatient();
         observe();
         serve();
+        lookAtNarrowedFloors();
         if (now >= reportAt) {
             reportAt = now + reportMicros;
-            if (start > 0) {
-                wire.report(holdings.report(now(), demand));
+            if (ledger.hasJoined()) {
+                wire.report(ledger.holdings().report(now(), demand));
             }
-            if (reports++ % UNKNOWN_LOOKS == 0) {
-                lookAtTheUnknown();
-            }
-            wire.figures(Figures.of(settings, holdings, queues, ids.stream().map(BudgetGate::name).toList(), doubts.size(), refused),
-                    begun.isEmpty() && doubts.size() == 0);
+            wire.figures(Figures.of(settings, ledger.holdings(), queues, ids.stream().map(BudgetGate::name).toList(), ledger.inDoubt(), refused),
+                    begun.isEmpty() && ledger.inDoubt() == 0);
         }
     }
 
@@ -358,35 +302,32 @@
             admitted.get(t).removeIf(Gateway.Request::isOver);
             int[] waiting = Waits.spread(queues.waiting(t, 0) + admitted.get(t).size(), caps);
             for (int slot = 0; slot < caps.length; slot++) {
-                demand.observe(t, slot, holdings.sessions(t, slot), waiting[slot], now());
+                demand.observe(t, slot, ledger.holdings().sessions(t, slot), waiting[slot], now());
             }
         }
     }
 
-    /** Without a quorum only the engine itself can tell what earlier starts left there. */
-    private void lookAtTheUnknown() {
+    /** Without a quorum only the engines themselves can tell what an earlier start left there. */
+    private void lookAtNarrowedFloors() {
         for (int slot = 0; slot < ids.size(); slot++) {
-            if (holdings.isLeftUnknown(slot) && listed.containsKey(ids.get(slot))) {
+            if (listed.containsKey(ids.get(slot)) && ledger.isDue(slot, now())) {
                 probe(ids.get(slot));
             }
         }
     }
 
-    /** Under a new session: what runs counts as left running, and nothing is granted. */
+    /** Under a new session. */
     private void joined() {
-        if (start++ > 0) {
-            former = holdings;
-            holdings = former.anew();
-        }
+        ledger.joined();
         reportAt = 0;
     }
 
     private void answered(Wire.Answer answer) {
         if (answer.grants() != null) {
-            holdings.granted(answer.grants(), now());
-            reportAt = holdings.isCalledBack() ? 0 : reportAt; // the sooner that is known, the sooner another may use it
+            ledger.holdings().granted(answer.grants(), now());
+            reportAt = ledger.holdings().isCalledBack() ? 0 : reportAt; // the sooner that is known, the sooner another may use it
         } else if (answer.over()) {
-            holdings.lapse();
+            ledger.holdings().lapse();
         }
         serve();
     }
--- a/src/measure/java/calicostream/budget/BudgetSim.java
+++ b/src/measure/java/calicostream/budget/BudgetSim.java
@@ -73,7 +73,7 @@
         this.random = new SplittableRandom(seed);
         this.machine = new GrantMachine(settings, out);
         for (int i = 0; i < caps.length; i++) {
-            engines.add(new SimEngine("e" + i, settings.pools().get(i % settings.pools().size()).name(), caps[i]));
+            engines.add(new SimEngine("e" + i, settings.pools().get(i % settings.pools().size()).name(), caps[i], (seed / 2 + i) % 2 == 0));
         }
         for (String name : settings.processes()) {
             processes.add(new SimProcess(this, name, load));
--- a/src/measure/java/calicostream/budget/SimEngine.java
+++ b/src/measure/java/calicostream/budget/SimEngine.java
@@ -11,6 +11,8 @@
 
     final String name;
     final String pool;
+    /** Whether it tells a process what that process's earlier starts have there, or only how many sessions it has in all. */
+    final boolean tellsByProcess;
     long incarnation = 1;
     int cap;
     int running;
@@ -22,10 +24,11 @@
     /** Links that processes have to this incarnation: until when each is busy; gone once the engine saw it closed. */
     final Map<Owner, Long> links = new HashMap<>();
 
-    SimEngine(String name, String pool, int cap) {
+    SimEngine(String name, String pool, int cap, boolean tellsByProcess) {
         this.name = name;
         this.pool = pool;
         this.cap = cap;
+        this.tellsByProcess = tellsByProcess;
         this.inForce = cap;
     }
 
--- a/src/measure/java/calicostream/budget/SimProcess.java
+++ b/src/measure/java/calicostream/budget/SimProcess.java
@@ -18,6 +18,9 @@
      */
     record Load(int[] clients, int millis) { }
 
+    /** Longer than any link delays, on the fastest clock. */
+    private static final long TRAVEL = 4_020 * BudgetSim.MS;
+
     private final BudgetSim sim;
     private final String name;
     private final Load load;
@@ -26,6 +29,7 @@
     private boolean up;
     private long stoppedUntil;
     private long session;
+    private Ledger ledger;
     private Holdings holdings;
     private Demand demand;
     private TenantQueues queues;
@@ -73,6 +77,7 @@
         up = true;
         session = sim.nextSession++;
         holdings = new Holdings(sim.settings, name, sim.out);
+        ledger = new Ledger(sim.settings, holdings, TRAVEL, clock());
         demand = new Demand(load.clients.length, 500 * BudgetSim.MS);
         queues = new TenantQueues(sim.settings, 1_000, sim.engines.size());
         idle = new int[sim.engines.size()][load.clients.length];
@@ -118,6 +123,7 @@
             return;
         }
         look();
+        sim.engines.stream().filter(engine -> !engine.tellsByProcess).forEach(engine -> askForAll(engine, mine));
         long number = ++reports; // one report leads to one next, however late its answer
         boolean[] answered = new boolean[1];
         sim.submit(mine, holdings.report(clock(), demand).encode(), effects -> here(mine, () -> answered(mine, effects, answered, number)),
@@ -181,7 +187,7 @@
                 boolean closed = engine.closed(name, mine);
                 sim.at(sim.now + sim.delay(), () -> here(mine, () -> {
                     holdings.connected(slot, incarnation);
-                    if (closed) {
+                    if (closed && engine.tellsByProcess) {
                         holdings.leftRunning(slot, incarnation, left);
                     }
                     if (first) {
@@ -201,6 +207,24 @@
         });
     }
 
+    /** Its count of all sessions, whoever's. */
+    private void askForAll(SimEngine engine, long mine) {
+        int slot = sim.engines.indexOf(engine);
+        long incarnation = holdings.incarnation(slot);
+        long asked = clock();
+        if (incarnation != 0 && ledger.isDue(slot, asked)) {
+            sim.at(sim.now + sim.delay(), () -> {
+                int running = engine.running;
+                sim.at(sim.now + sim.delay(), () -> here(mine, () -> {
+                    if (holdings.incarnation(slot) == incarnation) {
+                        ledger.counted(slot, asked, running);
+                        serve(slot);
+                    }
+                }));
+            });
+        }
+    }
+
     /** The engine was replaced: its connections break. */
     void reset(SimEngine engine) {
         long mine = session;
