Budgets: no count, list or join from before its time narrows what was left or is on its way

Need: three ways over a cap, found on the way. A count asked for at once after a start was a bound with in_hand beside it, but each of several processes that died within a lease may have had that many on the way. An engine's new incarnation, met first from a list that was behind at the start, or from an answer of the machine, set what was left there to nothing, though the earlier process may have met it. A new session of the same process counted what was on its way from nothing.

Now a count is proof only a lease after the start; for that long a new incarnation by the list leaves open what was left, and an answer sets it to the machine's word; what is on its way is taken over by the next join. The question goes out in the moment the lease is over, then five times a lease, while the floor is narrowed and no grant is in force.

BudgetsTest (three real processes, killed arbiter, cut member): passes.

--- a/src/main/java/calicostream/budget/Holdings.java
+++ b/src/main/java/calicostream/budget/Holdings.java
@@ -126,8 +126,13 @@
         }
     }
 
-    /** The incarnation of the engine that new sessions go to, as its connection tells. */
+    /** The incarnation of the engine that new sessions go to, as its connection tells: what was known here before has ended. */
     public void connected(int engine, long at) {
+        connected(engine, at, true);
+    }
+
+    /** @param latest whether the incarnation known until now was the latest that an earlier process of this name can have met */
+    void connected(int engine, long at, boolean latest) {
         if (at > incarnation[engine]) {
             boolean replaced = incarnation[engine] != 0;
             incarnation[engine] = at;
@@ -137,7 +142,7 @@
             inHand[engine] = 0;
             sum[engine] = 0;
             if (replaced) {
-                left[engine] = 0; // what earlier starts had there ended with the older incarnation
+                left[engine] = latest ? 0 : BudgetCommand.UNKNOWN; // what earlier starts had there ended with the older incarnation
             }
             refresh(engine);
         }
@@ -153,13 +158,14 @@
 
     /**
      * What this process goes by under a new session: nothing granted, and what it began under the old one counts as left running, which it
-     * knows to the last. The old object hears of those ends, and this one by {@link #leftBy}.
+     * knows to the last. The old object hears of those ends, and this one by {@link #leftBy}; of what arrives only this one need hear.
      */
     public Holdings anew() {
         Holdings next = new Holdings(settings, process, out);
         for (int engine = 0; engine < names.size(); engine++) {
             next.engine(names.get(engine), pools.get(engine));
             next.connected(engine, incarnation[engine]);
+            next.inHand[engine] = inHand[engine]; // on its way whatever it counts as
             next.leftBy(this, engine);
         }
         return next;
@@ -230,7 +236,7 @@
         for (BudgetCommand.Use use : grants.left()) {
             Integer slot = slots.get(use.engine());
             if (slot != null) {
-                connected(slot, use.incarnation());
+                connected(slot, use.incarnation(), false); // the machine may have known it before this process began
                 if (incarnation[slot] == use.incarnation()) {
                     left[slot] = Math.min(left[slot], use.left());
                 }
--- a/src/main/java/calicostream/budget/Ledger.java
+++ b/src/main/java/calicostream/budget/Ledger.java
@@ -10,9 +10,9 @@
  * What this process has begun, what of it has ended, is on its way or in doubt, and what its engines' counts say of that and of what an earlier
  * process of its name may have left running. Owned by one thread; reads no clock: times are nanoseconds of this process's monotonic one.
  *
- * <p>An engine counts all that it runs, whoever sent it. The earlier process is dead, so nothing of it begins any more; what it had sent is at
- * the engine, or its connection closed, once the travel time is over. A count asked for then bounds what it left; one asked for before does so
- * with what may be on its way beside it.
+ * <p>An engine counts all that it runs, whoever sent it. Earlier processes of the name are dead, so nothing of them begins any more; what they
+ * had sent is at the engine, or its connection closed, once the travel time is over. A count asked for then bounds what they left. One asked for
+ * before bounds nothing: each of those that died within that time may have had as many on the way as one may have.
  */
 public final class Ledger {
     private static final int LOOKS = 5; // in a travel time
@@ -33,7 +33,6 @@
         }
     }
 
-    private final BudgetSettings settings;
     private final long travelNanos;
     private final Doubts doubts;
     private final Map<Integer, Long> looks = new HashMap<>();
@@ -47,11 +46,10 @@
      * @param now since when no other process of this name runs, or later
      */
     public Ledger(BudgetSettings settings, String process, long travelNanos, long now) {
-        this(settings, new Holdings(settings, process), travelNanos, now);
+        this(new Holdings(settings, process), travelNanos, now);
     }
 
-    Ledger(BudgetSettings settings, Holdings holdings, long travelNanos, long now) {
-        this.settings = settings;
+    Ledger(Holdings holdings, long travelNanos, long now) {
         this.holdings = holdings;
         this.travelNanos = travelNanos;
         this.startedAt = now;
@@ -80,11 +78,14 @@
         return start > 0;
     }
 
-    /** The engine's incarnation by the list; an older one is no news. */
-    public void connected(int engine, long incarnation) {
+    /**
+     * The engine's incarnation by the list; an older one is no news. A list that was read at the start may have been behind, so that the earlier
+     * process has met this incarnation too: for a travel time nothing is known of what it left there.
+     */
+    public void connected(int engine, long incarnation, long now) {
         if (incarnation > holdings.incarnation(engine)) {
             doubts.replaced(engine);
-            holdings.connected(engine, incarnation);
+            holdings.connected(engine, incarnation, now - startedAt >= travelNanos);
         }
     }
 
@@ -98,10 +99,7 @@
     public void arrived(Session session) {
         if (!session.arrived) {
             session.arrived = true;
-            Holdings by = by(session.start);
-            if (by != null) {
-                by.arrived(session.engine, session.incarnation);
-            }
+            holdings.arrived(session.engine, session.incarnation); // which has taken over what was on its way before the last join
         }
     }
 
@@ -132,24 +130,23 @@
             ended(each.start(), each.tenant(), engine, each.incarnation());
             tenants.add(each.tenant());
         }
-        if (former == null) { // else what counts as left is this living process's own too, which a count doesn't bound
-            int onTheWay = askedAt - startedAt >= travelNanos ? 0 : settings.inHand();
-            holdings.leftRunning(engine, holdings.incarnation(engine), Math.min(BudgetCommand.UNKNOWN, running + onTheWay));
+        // Under a later join what counts as left is this living process's own too, which is on its way as well.
+        if (former == null && askedAt - startedAt >= travelNanos) {
+            holdings.leftRunning(engine, holdings.incarnation(engine), running);
         }
         return tenants;
     }
 
     /**
-     * Whether to ask the engine for its count now, since its floor is not whole and no grant says more; yes is said once for each time that it
-     * is due: at first sight, five times in a travel time, and in the moment from which a count needs nothing beside it.
+     * Whether to ask the engine for its count now, since its floor is not whole and no grant says more. Yes is said once for each time that it is
+     * due: in the moment from which a count is proof, and then five times in a travel time.
      */
     public boolean isDue(int engine, long now) {
-        if (former != null || holdings.isLive() || !holdings.isFloorNarrowed(engine) || now < looks.getOrDefault(engine, now)) {
+        if (former != null || holdings.isLive() || !holdings.isFloorNarrowed(engine)
+                || now < looks.getOrDefault(engine, startedAt + travelNanos)) {
             return false;
         }
-        long whole = startedAt + travelNanos;
-        long next = now + travelNanos / LOOKS;
-        looks.put(engine, now < whole ? Math.min(next, whole) : next);
+        looks.put(engine, now + travelNanos / LOOKS);
         return true;
     }
 
--- a/src/main/java/calicostream/budget/process/BudgetGate.java
+++ b/src/main/java/calicostream/budget/process/BudgetGate.java
@@ -119,7 +119,7 @@
                 slots.put(engine.id(), slot);
                 ids.add(engine.id());
             }
-            ledger.connected(slot, incarnation(engine.id()));
+            ledger.connected(slot, incarnation(engine.id()), now());
         }
         uncounted = (int) listed.values().stream().filter(each -> config.pool(each.kind()).isEmpty()).count();
         wire.list(listed.values().stream().filter(each -> config.pool(each.kind()).isPresent()).map(each -> new Wire.Listed(name(each.id()),
--- a/src/measure/java/calicostream/budget/SimProcess.java
+++ b/src/measure/java/calicostream/budget/SimProcess.java
@@ -77,7 +77,7 @@
         up = true;
         session = sim.nextSession++;
         holdings = new Holdings(sim.settings, name, sim.out);
-        ledger = new Ledger(sim.settings, holdings, TRAVEL, clock());
+        ledger = new Ledger(holdings, TRAVEL, clock());
         demand = new Demand(load.clients.length, 500 * BudgetSim.MS);
         queues = new TenantQueues(sim.settings, 1_000, sim.engines.size());
         idle = new int[sim.engines.size()][load.clients.length];
