Connection: a last answer is read out by slow readers, and unread ends can be looked for

Cause: Connection.finish closed one second after it was asked to end, whatever was still to be written (its LINGER deadline), so a client that read slowly lost the rest of its answers. Ruled out: the system's own buffers, which go on being sent after a close. Change: the second counts from the last progress while there is something to write, and from the last byte after that. hasEnded reads what has come, also where reading is paused, and leaves it to be handled in the next turn. Measured: ConnectionTest.whoReadsSlowlyHasAllOfTheLastAnswer fails with the old deadline (ended after 13,312 bytes), passes with the new one.

--- a/src/main/java/calicostream/net/Connection.java
+++ b/src/main/java/calicostream/net/Connection.java
@@ -11,7 +11,7 @@
 
 /** One TCP connection with a bounded ring a direction; its handler is told what happens on it. */
 public final class Connection implements Loop.Ready {
-    private static final long LINGER = 1_000_000; // us for the other side to read the last answer and close
+    private static final long LINGER = 1_000_000; // us for the other side to read on, or to close once it has all
 
     /** What a connection's owner is told. {@link #closed} comes once, also after {@link Connection#close}. */
     public interface Handler {
@@ -34,6 +34,7 @@
     private SelectionKey key;
     private boolean connecting, closed, paused, flushing, urgent;
     private boolean closeWhenFlushed, lingering, reset;
+    private boolean ended, readAhead; // by the other side; bytes wait to be handled
     private long queued, written; // bytes since it was opened
 
     private Connection(Loop loop, SocketChannel channel, Handler handler, int boundIn, int boundOut) {
@@ -174,11 +175,58 @@
         } else if (!closeWhenFlushed && !closed) {
             closeWhenFlushed = true;
             pause(true);
-            loop.deadlines().add(loop.clock().now() + LINGER, (now, ref) -> close(), 0);
+            awaitFlushed(written);
             loop.soon(this::flush);
         }
     }
 
+    /** Who reads slowly has all of it in the end; who has read nothing for a while is not waited for. */
+    private void awaitFlushed(long writtenBefore) {
+        loop.deadlines().add(loop.clock().now() + LINGER, (now, ref) -> {
+            if (!lingering && written > writtenBefore) {
+                awaitFlushed(written);
+            } else if (!lingering) {
+                close();
+            }
+        }, 0);
+    }
+
+    /**
+     * Whether the other side has ended it, as far as its bytes have come: these are read now, also where reading is
+     * paused, and handled in the loop's next turn. Safe to call while this connection's bytes are being handled.
+     */
+    public boolean hasEnded() {
+        if (closed || ended || connecting || lingering) {
+            return closed || ended;
+        }
+        try {
+            for (int count = 1; count > 0 && in.room() > 0;) {
+                count = in.fill(channel, loop.through());
+                ended = count < 0;
+                readAhead(count != 0);
+            }
+        } catch (IOException e) {
+            ended = true;
+            readAhead(true);
+        }
+        return ended;
+    }
+
+    /** The selector won't tell of bytes that have been read. */
+    private void readAhead(boolean any) {
+        if (any && !readAhead) {
+            readAhead = true;
+            loop.nextTurn(() -> {
+                readAhead = false;
+                if (ended) { // What it asked for last is of no use to anybody.
+                    close();
+                } else {
+                    handle(in.size() > 0);
+                }
+            });
+        }
+    }
+
     /** Takes what has come and was not read yet; whether there was nothing. */
     public boolean isQuiet() {
         if (closed || connecting || paused) {
@@ -199,7 +247,7 @@
 
     /** Whether it has ended, or only waits for the other side to see its end. */
     public boolean isFinishing() {
-        return closeWhenFlushed || closed;
+        return closeWhenFlushed || closed || ended;
     }
 
     /** Whether the other side, which was there, ended it before it had come up. */
@@ -302,6 +350,7 @@
                 lingering = true;
                 in.skip(in.size());
                 channel.shutdownOutput();
+                loop.deadlines().add(loop.clock().now() + LINGER, (now, ref) -> close(), 0);
             }
             interest();
         } catch (IOException e) {
--- /dev/null
+++ b/src/test/java/calicostream/net/ConnectionTest.java
@@ -0,0 +1,145 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import calicostream.core.Clock;
+import calicostream.core.Deadlines;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SocketChannel;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.FutureTask;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The end of a connection, against another side that reads as a test says and on a clock that it turns. */
+class ConnectionTest {
+    private static final int PATIENCE_S = 20;
+    private static final int BOUND = 128 * 1024;
+    private static final int SOCKET_TAKES = 4 * 1024; // far less than the ring: it empties in many steps
+    private static final long LINGERS = 1_100_000;
+    private final AtomicLong ahead = new AtomicLong();
+    private final CompletableFuture<Connection> accepted = new CompletableFuture<>();
+    private Loop loop;
+    private Socket client;
+    private Connection connection;
+
+    @BeforeEach
+    void start() throws Exception {
+        Clock clock = new Clock() {
+            @Override
+            public long now() {
+                return super.now() + ahead.get();
+            }
+        };
+        loop = new Loop(clock, new Deadlines());
+        Listener listener = new Listener(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 8, new Listener.Taker() {
+            @Override
+            public void accepted(SocketChannel channel) throws IOException {
+                channel.setOption(StandardSocketOptions.SO_SNDBUF, SOCKET_TAKES);
+                accepted.complete(Connection.accepted(loop, channel, new Connection.Handler() {
+                    @Override
+                    public void received(Connection c) { }
+
+                    @Override
+                    public void closed(Connection c) { }
+                }, BOUND, BOUND));
+            }
+
+            @Override
+            public boolean spareOne() {
+                return false;
+            }
+        });
+        Thread thread = new Thread(() -> {
+            try {
+                loop.run();
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+        client = new Socket();
+        client.setReceiveBufferSize(8 * 1024);
+        client.setSoTimeout(PATIENCE_S * 1000);
+        client.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), listener.port()));
+        connection = accepted.get(PATIENCE_S, TimeUnit.SECONDS);
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        loop.post(loop::stop);
+        client.close();
+    }
+
+    private <T> T on(Callable<T> work) throws Exception {
+        FutureTask<T> task = new FutureTask<>(work);
+        loop.post(task);
+        return task.get(PATIENCE_S, TimeUnit.SECONDS);
+    }
+
+    /** Writes until the socket takes no more and half of the ring is full; the bytes queued. */
+    private long fill() throws Exception {
+        return on(() -> {
+            while (connection.unsent() < BOUND / 2) {
+                connection.write(new byte[1024]);
+                connection.flushNow();
+            }
+            return connection.queued();
+        });
+    }
+
+    /** Reads until so many bytes more have gone into the socket. */
+    private long readUntilWritten(InputStream in, long count) throws Exception {
+        long before = on(connection::written);
+        long read = 0;
+        for (byte[] some = new byte[4096]; on(connection::written) < before + count;) {
+            int more = in.read(some);
+            assertTrue(more > 0, "it ended after " + read + " bytes more");
+            read += more;
+        }
+        return read;
+    }
+
+    @Test
+    void whoReadsSlowlyHasAllOfTheLastAnswer() throws Exception {
+        long queued = fill();
+        on(() -> {
+            connection.finish();
+            return null;
+        });
+        InputStream in = client.getInputStream();
+        long read = 0;
+        for (int second = 0; second < 3; second++) {
+            read += readUntilWritten(in, 1);
+            ahead.addAndGet(LINGERS);
+            on(() -> null);
+            on(() -> null);
+        }
+        assertEquals(queued, read + in.readAllBytes().length);
+    }
+
+    @Test
+    void whoReadsNothingIsNotWaitedFor() throws Exception {
+        fill();
+        on(() -> {
+            connection.finish();
+            return null;
+        });
+        ahead.addAndGet(LINGERS);
+        on(() -> null);
+        on(() -> null);
+        assertTrue(on(connection::isClosed));
+    }
+}
