Change log: a list that stops in its middle lets no clients in

Cause: ChangeLog.hasToldAll took 25 ms without a byte and an empty ring for the end of what the log holds, but EventStream takes half a line out of the ring. A first whole list in pieces let clients in under the configuration's older list, and what the log held counts as told. Ruled out: half an event that is cut by the end of its stream, which was asked for anew all along (exchange change-log.txt). Change: nothing half-read may be left (EventStream.isBetweenEvents). The stand-in log can take a call and say nothing, and passes over calls that were given up. Measured: exchange silent-log.txt fails without it (the program listened after half a list).

--- a/src/main/java/calicostream/platform/ChangeLog.java
+++ b/src/main/java/calicostream/platform/ChangeLog.java
@@ -45,8 +45,8 @@
 
     /** Whether all that the log held when it was asked has been read: it writes that behind its answer's head, in one go. */
     boolean hasToldAll(long now) {
-        return follower != null && follower.events.hasBegun() && follower.connection.in().size() == 0
-                && now - follower.heardAt >= SETTLED;
+        return follower != null && follower.events.hasBegun() && follower.events.isBetweenEvents()
+                && follower.connection.in().size() == 0 && now - follower.heardAt >= SETTLED;
     }
 
     void start() {
--- a/src/main/java/calicostream/platform/EventStream.java
+++ b/src/main/java/calicostream/platform/EventStream.java
@@ -29,6 +29,11 @@
         return inBody;
     }
 
+    /** Whether nothing has come of an event that has not come whole. */
+    boolean isBetweenEvents() {
+        return line.length() == 0 && data.length() == 0 && chunkLeft == 0;
+    }
+
     /** Takes all that can be used. */
     void take(Ring in) throws BadInput {
         while (step(in)) {
--- a/src/test/java/calicostream/wire/ChangeLogStand.java
+++ b/src/test/java/calicostream/wire/ChangeLogStand.java
@@ -35,6 +35,9 @@
     /** The same, with events right behind the answer's head. */
     public String follow(String events) throws IOException {
         follower = server.accept();
+        while (SocketTable.hasEnded(follower.getLocalPort(), follower.getPort())) { // It gave up before it was answered.
+            follower = server.accept();
+        }
         BufferedReader in = new BufferedReader(new InputStreamReader(follower.getInputStream(),
                 StandardCharsets.US_ASCII));
         String last = "";
@@ -48,6 +51,14 @@
         return last;
     }
 
+    /** Takes a follower and says nothing to it, until it goes. */
+    public void hold() throws IOException {
+        try (Socket silent = server.accept()) {
+            silent.setSoTimeout((int) Program.PATIENCE_MS);
+            silent.getInputStream().readAllBytes();
+        }
+    }
+
     public void tell(int seq, String event) throws IOException {
         write("id: " + seq + "\ndata: " + event + "\n\n");
     }
--- a/src/test/java/calicostream/wire/Exchange.java
+++ b/src/test/java/calicostream/wire/Exchange.java
@@ -25,7 +25,7 @@
  * the party, '<' is what the party must receive next, '!' is a word on it. Parties: c1, c2 ... clients (lines),
  * crowd (many clients), a1, a2 ... callers of the admin address (bytes; what they receive is all until it ends;
  * "until" asks for the figures until they are so), b1, b2 ... the same of the successor's, e1, e2 ... engines
- * (commands with '|' between their parts), log and log2 (events), program, successor. In bytes, b64(...) is
+ * (commands with '|' between their parts), log and log2 (events; "hold" takes a follower and says nothing), program, successor. In bytes, b64(...) is
  * base64 and \n, \r, \t, \0 are what they usually are; in what is expected, * stands for any bytes, and in
  * events @e1 for an engine's address and @@ for the time in Unix milliseconds.
  */
@@ -108,6 +108,8 @@
                 admin = program.port("operators call on port");
             } else if (word.startsWith("quiet ")) {
                 assertTrue(program.isQuiet(Long.parseLong(word.substring(6))), "the program has gone on");
+            } else if (word.startsWith("says ")) {
+                program.awaitLine(word.substring(5));
             } else if (word.equals("listens")) {
                 port = program.port("listens on port");
             } else if (word.startsWith("start")) {
@@ -118,6 +120,8 @@
             } else if (word.equals("kill")) {
                 program.close();
                 program.awaitExit();
+            } else if (word.equals("term again")) {
+                program.signal();
             } else if (word.equals("term")) {
                 program.signal();
                 program.awaitLine("SIGTERM");
@@ -172,8 +176,9 @@
             if (words[0].equals("silent")) {
                 crowd.add(socket());
             } else {
-                step("stays" + i, '>', "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"check\"}");
-                step("stays" + i, '<', "{\"jsonrpc\":\"2.0\",\"id\":1,\"result\":{\"pass\":true}}");
+                String name = "stays" + clients.size();
+                step(name, '>', "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"check\"}");
+                step(name, '<', "{\"jsonrpc\":\"2.0\",\"id\":1,\"result\":{\"pass\":true}}");
             }
         }
     }
@@ -217,6 +222,8 @@
             assertEquals(text, log.follow());
         } else if (text.equals("close")) {
             log.hangUp();
+        } else if (text.equals("hold")) {
+            log.hold();
         } else if (text.startsWith("answers ")) {
             assertEquals("1", log.follow(events(text.substring(8))));
         } else {
