Nothing is sent for clients that have gone; ends read what is on its way first

Change: fronts are asked before anything goes out (Front.hasLeft; Cancels looks through unread lines once), attempts know until when they may go out, ends go by one path (letGo), SIGTERM without a successor goes the way of a hand-over 0.8 s later and gives up what is open 0.4 s before SIGKILL. Clients are taken 7 s after the start where the log is down, 8 s after the warm-up before.

--- a/src/main/java/calicostream/core/Front.java
+++ b/src/main/java/calicostream/core/Front.java
@@ -25,6 +25,14 @@
     /** Failed, with nothing promised about its effect. */
     void failed(long tag, Failure why);
 
+    /**
+     * Whether the client has cancelled this request or gone, also by what it sent that was not handled yet. Asked right before
+     * something goes to an engine, maybe while this front hands a request over; it calls nothing back.
+     */
+    default boolean hasLeft(long tag) {
+        return false;
+    }
+
     // What its wire tells of who sent a request that is not over, where anybody asks; null where it has no such word.
     default String login(long tag) {
         return null;
--- a/src/main/java/calicostream/core/Gateway.java
+++ b/src/main/java/calicostream/core/Gateway.java
@@ -7,6 +7,7 @@
 import calicostream.core.Watcher.Ending;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -47,6 +48,7 @@
         public int tenant;
         long handle;
         int attempts;
+        long riskSince; // when the first attempt that may have run was sent
         boolean answered, mayHaveRun, streaming, told, left;
         QueryRouter.Query asked;
         Attempt out;
@@ -77,6 +79,17 @@
             return pinned != 0 || spec.effect() == QueryRouter.Effect.ONCE;
         }
 
+        /** Whether its client may ask for it once more, at any front end, though it may have run. */
+        private boolean isHarmlessAgain() {
+            return !isOnce() && (spec.effect() == QueryRouter.Effect.REPEATABLE || spec.scope() == QueryRouter.Scope.ALL);
+        }
+
+        /** Until when a further attempt may go out, as far as what may have run bounds that. */
+        private long repeatableUntil() {
+            boolean bounded = mayHaveRun && spec.effect() == QueryRouter.Effect.BY_KEY;
+            return bounded ? riskSince + spec.windowUs() : Long.MAX_VALUE;
+        }
+
         /** Whether it keeps its turn among those of its key. */
         boolean isInLine() {
             return spec.inOrder() && asked.key() != 0;
@@ -115,6 +128,7 @@
         public final long giveUpAt;
         public Object link;
         long handle;
+        private final long goesOutBefore;
         private boolean calledOff;
 
         private Attempt(Request request, int number, long engine, long sentAt, long giveUpAt) {
@@ -123,6 +137,7 @@
             this.engine = engine;
             this.sentAt = sentAt;
             this.giveUpAt = giveUpAt;
+            goesOutBefore = Math.min(giveUpAt, request.repeatableUntil());
         }
 
         public long handle() {
@@ -252,9 +267,15 @@
     public void giveUpAll() {
         List<Request> open = new ArrayList<>();
         requests.forEach(open::add);
+        open.sort(Comparator.comparing(request -> request.out != null)); // Or what waits would take the room of what ends.
         for (Request request : open) {
             tell(r -> {
-                refuse(request.handle, 0);
+                if (request.streaming) { // A part of its result has gone out: its client can tell that no more comes.
+                    close(request, Ending.FAILED);
+                    request.front.failed(request.tag, Failure.CUT);
+                } else {
+                    refuse(request.handle, 0);
+                }
                 r.abandoned(clock.now(), request.handle);
             });
         }
@@ -422,6 +443,18 @@
         figures.tried();
     }
 
+    /**
+     * Whether an attempt that has waited on the engine side may go out now. If not, it has ended or is to be ended there as
+     * one that never ran. Not to be asked while the module acts.
+     */
+    public boolean mayGoOut(Attempt attempt) {
+        Request request = attempt.request;
+        if (isOut(attempt) && request.front.hasLeft(request.tag)) {
+            abandon(request.handle);
+        }
+        return isOut(attempt) && clock.now() < attempt.goesOutBefore;
+    }
+
     /** News of an attempt that still runs. */
     public void progress(Attempt attempt, QueryRouter.Notice notice, double amount) {
         if (isOut(attempt)) {
@@ -481,11 +514,16 @@
         attempt.handle = attempts.add(attempt);
         request.attempts++;
         // Neither a second attempt beside one that is out, nor a second run, whatever the module asks.
-        if (request.answered || request.out != null || again || now >= until
+        if (request.answered || request.out != null || again || now >= attempt.goesOutBefore
                 || request.attempts > settings.limits().maxAttempts()) {
             ended(attempt, QueryRouter.Outcome.MOOT, null, null);
             return;
         }
+        if (request.front.hasLeft(request.tag)) { // What the client said last is still unread: the module hears it by this end.
+            close(request, Ending.ABANDONED);
+            ended(attempt, QueryRouter.Outcome.MOOT, null, null);
+            return;
+        }
         if (!ready) {
             ended(attempt, QueryRouter.Outcome.CONNECT_FAILED, null, null);
             return;
@@ -518,9 +556,8 @@
         if (request == null || request.answered) {
             return;
         }
-        boolean harmless = !request.isOnce()
-                || !request.mayHaveRun && request.out == null;
-        if (harmless) {
+        boolean neverRan = !request.mayHaveRun && request.out == null;
+        if (neverRan || request.isHarmlessAgain()) {
             close(request, Ending.REFUSED);
             request.front.refused(request.tag, retryAfterUs / 1000);
         } else { // "Trying again is harmless" would be untrue: say no more than that it failed.
@@ -650,6 +687,7 @@
         if (request.answered) { // It ended before its attempt did.
             left(request);
         }
+        request.riskSince = request.mayHaveRun || !end.outcome.mayHaveRun ? request.riskSince : attempt.sentAt;
         request.mayHaveRun |= end.outcome.mayHaveRun;
         engines.over(attempt, end.outcome, end.report);
         boolean serves = end.outcome == QueryRouter.Outcome.OK && !request.answered;
--- a/src/main/java/calicostream/platform/JsonRpcFront.java
+++ b/src/main/java/calicostream/platform/JsonRpcFront.java
@@ -21,6 +21,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.function.Function;
 
@@ -36,7 +37,6 @@
     private static final long REST = 8_000_000; // us without a request: usual clients close after half of it
     private static final long SAYS_SOON = 250_000; // us after which a client that connects has its reason to
     private static final long HEARD = 20_000; // us in which what a client sent has surely been read
-    private static final long REST_ON = 700_000; // us after which a retiring front lets go who rests
     private static final long LET_GO = 20_000; // us between its looks for those
     private static final long LOOK = 200_000; // us between looks for clients that stalled or rest
     private static final int LITTLE = 8 * 1024; // bytes that one client may hold where memory is short
@@ -91,13 +91,13 @@
     }
 
     /**
-     * Another process takes new clients. Those here are served on and closed with their last answer; who rests then
-     * is closed after a moment, in which most ask once more. What is asked must be answered by {@code last}.
+     * No new clients from now on. Those here are served on and closed with their last answer; who rests is closed from
+     * {@code restsUntil} on. What is asked must be answered by {@code last}.
      */
-    void retire(long last) throws IOException {
+    void retire(long restsUntil, long last) throws IOException {
         lastMoment = last;
+        loop.deadlines().add(restsUntil, this::letGo, 0); // Also where no descriptor is left to take the rest with.
         listener.takeAllAndClose();
-        loop.deadlines().add(loop.clock().now() + REST_ON, this::letGo, 0);
     }
 
     private void letGo(long now, long ref) {
@@ -121,30 +121,28 @@
         return listener.port();
     }
 
-    /** Bytes of answers that have not gone out yet: ending now would lose them. */
-    long unsent() {
-        return clients.stream().mapToLong(c -> c.connection.unsent() + c.waiting.size()).sum();
-    }
-
-    void stopListening() throws IOException {
-        listener.close();
-    }
-
     @Override
     public void accepted(SocketChannel channel) throws IOException {
         new Client(channel);
     }
 
-    /** Some clients ask once and stay, others connect and say nothing: neither may keep the rest out. */
+    /**
+     * Some clients ask once and stay, others connect and say nothing: neither may keep the rest out. What has come from one
+     * and was not read is a reason to keep it: closed over that, its connection would be reset.
+     */
     @Override
     public boolean spareOne() {
         long now = loop.clock().now();
-        Client least = clients.stream().filter(c -> c.need(now) < Client.NEEDED)
-                .min(Comparator.comparingInt((Client c) -> c.need(now)).thenComparingLong(c -> c.restsSince)).orElse(null);
-        if (least != null) {
-            least.connection.close();
+        Comparator<Client> order = Comparator.comparingInt((Client c) -> c.need(now)).thenComparingLong(c -> c.restsSince);
+        PriorityQueue<Client> spared = new PriorityQueue<>(order);
+        clients.stream().filter(c -> c.need(now) < Client.NEEDED).forEach(spared::add);
+        for (Client least = spared.poll(); least != null; least = spared.poll()) {
+            if (least.saysNothing()) {
+                least.connection.close();
+                return true;
+            }
         }
-        return least != null;
+        return false;
     }
 
     private void look(long now, long ref) {
@@ -188,6 +186,12 @@
         return remote == null ? null : remote.getAddress();
     }
 
+    @Override
+    public boolean hasLeft(long tag) {
+        Pending p = pending.get(tag);
+        return p == null || p.client.hasLeft(p);
+    }
+
     private interface Wording {
         byte[] of(Pending pending);
     }
@@ -199,6 +203,7 @@
             p.client.open.remove(p.id);
             p.client.write(wording.of(p));
             p.client.rests();
+            p.client.endIfServed();
             if (lastMoment < Long.MAX_VALUE) { // Best closed with an answer: no request crosses that.
                 loop.soon(p.client::letGo);
             }
@@ -215,11 +220,13 @@
         long restsSince = loop.clock().now();
         long lineSince;
         long heardAt;
+        final Cancels cancels;
         int scanned;
-        boolean served;
+        boolean served, refusesInput;
 
         Client(SocketChannel channel) throws IOException {
             connection = Connection.accepted(loop, channel, this, BOUND_IN, BOUND_OUT);
+            cancels = new Cancels(connection.in());
             clients.add(this);
         }
 
@@ -257,6 +264,10 @@
         @Override
         public void received(Connection c) {
             Ring in = c.in();
+            if (refusesInput) {
+                skip(in, in.size());
+                return;
+            }
             heardAt = loop.clock().now();
             lineSince = scanned == 0 ? loop.clock().now() : lineSince;
             for (int i = 0; i < LINES_A_TURN && waiting.isEmpty() && !c.isClosed() && !c.isFinishing(); i++) {
@@ -266,7 +277,7 @@
                     break;
                 }
                 byte[] line = in.copy(0, end);
-                in.skip(end + 1);
+                skip(in, end + 1);
                 lineSince = loop.clock().now();
                 line(line);
             }
@@ -280,9 +291,35 @@
             }
         }
 
+        private void skip(Ring in, int count) {
+            in.skip(count);
+            cancels.taken(count);
+        }
+
+        /** Nothing more is taken from it; what it had asked before is still answered. */
         private void end(String why) {
             write(JsonRpc.error("null", JsonRpc.INVALID_REQUEST, why));
-            connection.finish();
+            refusesInput = true;
+            skip(connection.in(), connection.in().size());
+            scanned = 0;
+            endIfServed();
+        }
+
+        void endIfServed() {
+            if (refusesInput && open.isEmpty()) {
+                connection.finish();
+            }
+        }
+
+        /** Whether it has gone or cancelled the request, also by what was not handled yet: it may wait behind other requests. */
+        boolean hasLeft(Pending p) {
+            return connection.hasEnded() || cancels.name(p.id, p.requestId);
+        }
+
+        /** Whether nothing has come from it that was not handled. */
+        boolean saysNothing() {
+            int known = connection.in().size();
+            return connection.hasEnded() || connection.in().size() == known;
         }
 
         /** From now on, unless a request is open. */
@@ -308,8 +345,8 @@
             }
             if (half && now - (served ? lineSince : restsSince) > HALF_LINE) {
                 end("the line did not end in time");
-            } else if (connection.in().size() == 0 && now - restsSince > (served ? REST : SPEAKS)) {
-                connection.close();
+            } else if (now - restsSince > (served ? REST : SPEAKS)) {
+                letGo();
             }
         }
 
@@ -358,7 +395,7 @@
 
         private void request(JsonRpc message, long id) {
             byte[] body = body(message.content);
-            boolean usable = message.requestId != null && message.requestId.matches("[0-9a-f]{16}")
+            boolean usable = message.requestId != null && message.requestId.matches("[0-9a-fA-F]{16}")
                     && message.wait > 0 && message.wait <= longestWaitMs && body != null && message.hasUsableMarks();
             if (open.containsKey(id) || id <= lastId && lastId - id > 4 * MOST_OPEN) {
                 // Under its number the answer would be taken for that of the request which is open.
@@ -396,7 +433,8 @@
 
         /** The client no longer waits; it names the request by its id on the connection, or by its own id. */
         private void interrupt(JsonRpc message) {
-            Long tag = open.get((long) (Double.isNaN(message.paramsNumber) ? message.id : message.paramsNumber));
+            cancels.handled(message);
+            Long tag = open.get(Cancels.number(message));
             for (long each : open.values()) {
                 Pending p = pending.get(each);
                 tag = p != null && p.requestId.equals(message.requestId) ? Long.valueOf(each) : tag;
@@ -406,6 +444,7 @@
                 open.remove(p.id);
                 openIds.remove(p.requestId);
                 gateway.abandon(p.handle);
+                endIfServed();
             }
         }
     }
--- a/src/main/java/calicostream/platform/Node.java
+++ b/src/main/java/calicostream/platform/Node.java
@@ -32,10 +32,11 @@
     private static final long LOOK_AT_FILE = 250_000; // us between looks at the configuration where SIGHUP is not heard
     private static final long LOOK = 100_000; // us between looks at the other process's word
     private static final long CATCH_UP = 1_500_000; // us at most to hear of the engines what the other process knows
-    private static final long LIST_AWAITED = 8_000_000; // us at most, past the 7 s after which its word counts anyway
+    private static final long LIST_AWAITED = 7_000_000; // us from the start at most: after that its word counts anyway
     private static final long CATCH_UP_LOOK = 5_000;
-    private static final long LONGEST_STAY = 5_000_000; // us after SIGTERM that a request may be waited for
-    private static final long READ_LAST = 1_000_000; // us that clients have to read the last answers
+    private static final long LONGEST_STAY = 3_000_000; // us after SIGTERM that a request may be waited for
+    private static final long LONGEST_HAND_OVER = 5_000_000; // us, the same where another process takes the clients
+    private static final long REST_ON = 700_000; // us in which most who rest ask once more, the other process beside
     private static final long LONGEST_END_S = 30;
     private final Loop loop;
     private final JsonRpcFront front;
@@ -49,7 +50,7 @@
     private final AdminFront admin;
     private boolean started, listening, ending;
     private IOException failed;
-    private long lastOpenAt;
+    private final long startedAt;
     private final CountDownLatch done = new CountDownLatch(1);
 
     /** {@code shared} is the folder that this front end's processes have in common, or null. */
@@ -57,6 +58,7 @@
         this.config = config;
         descriptors = parts.descriptors();
         loop = parts.loop();
+        startedAt = loop.clock().now();
         engines = parts.engines();
         gateway = parts.gateway();
         services = parts.services();
@@ -161,7 +163,7 @@
             return;
         }
         long now = loop.clock().now();
-        catchUp(now, now + (handover.hasElder() ? CATCH_UP : LIST_AWAITED));
+        catchUp(now, handover.hasElder() ? now + CATCH_UP : startedAt + LIST_AWAITED);
     }
 
     /**
@@ -212,12 +214,11 @@
             handover.look();
             long now = loop.clock().now();
             if (handover.hasSuccessor()) {
-                retire(now);
-                return;
+                LOG.info("another process of this front end listens: no more clients here");
+                retire(now + REST_ON, lastMoment(now, LONGEST_HAND_OVER));
+            } else {
+                loop.deadlines().add(now + SERVE_ON, (at, last) -> retire(at, last), lastMoment(now, LONGEST_STAY));
             }
-            long stopAt = now + SERVE_ON;
-            lastOpenAt = stopAt;
-            loop.deadlines().add(stopAt, this::finish, 0);
         });
         try {
             done.await(LONGEST_END_S, TimeUnit.SECONDS);
@@ -308,18 +309,21 @@
         return part == null ? null : part.tell(words);
     }
 
-    /** The other process takes all new clients from now on; those that are here are served, and let go at rest. */
-    private void retire(long now) {
-        long last = now + Math.min(LONGEST_STAY, longestDeadline()) + SERVE_ON - MARGIN;
-        LOG.info("another process of this front end listens: no more clients here");
+    /** By when all that was taken must be answered: SIGKILL may come soon after. */
+    private long lastMoment(long terminatedAt, long longestStay) {
+        return terminatedAt + Math.min(longestStay, longestDeadline()) + SERVE_ON - MARGIN;
+    }
+
+    /** No new clients from now on; those that are here are served, and let go at rest. */
+    private void retire(long restsUntil, long last) {
+        handover.listens(false);
+        services.forEach(Service::stopListening);
         try {
-            front.retire(last);
-            handover.listens(false);
-            services.forEach(Service::stopListening);
+            front.retire(restsUntil, last);
         } catch (IOException e) {
             LOG.warn("listener: {}", e.toString());
         }
-        loop.deadlines().add(now + LOOK_AGAIN, this::retired, last + LAST_WORDS);
+        loop.deadlines().add(loop.clock().now() + LOOK_AGAIN, this::retired, last + LAST_WORDS);
         // Deadlines may lie beyond SIGKILL, and a request that this process ends without an answer is lost.
         loop.deadlines().add(last, (at, ref) -> gateway.giveUpAll(), 0);
     }
@@ -332,19 +336,4 @@
             loop.deadlines().add(now + LOOK_AGAIN, this::retired, last);
         }
     }
-
-    private void finish(long now, long ref) {
-        try {
-            front.stopListening();
-            services.forEach(Service::stopListening);
-        } catch (IOException e) {
-            LOG.warn("listener: {}", e.toString());
-        }
-        lastOpenAt = gateway.open() > 0 ? now : lastOpenAt;
-        if (gateway.open() == 0 && (front.unsent() == 0 || now - lastOpenAt > READ_LAST)) {
-            loop.stop();
-        } else {
-            loop.deadlines().add(now + LOOK_AGAIN, this::finish, 0);
-        }
-    }
 }
--- a/src/main/java/calicostream/platform/RespEngines.java
+++ b/src/main/java/calicostream/platform/RespEngines.java
@@ -128,6 +128,8 @@
         if (!address.equals(e.address)) {
             e.address = address;
             closeIdle(e);
+            // What waits for a connection to the old address must not reach whoever listens there now.
+            List.copyOf(e.links).stream().filter(link -> !link.connection.isConnected()).forEach(link -> link.connection.close());
         }
     }
 
@@ -253,16 +255,10 @@
      * opened, and null where all are full.
      */
     private Link choose(Engine e, String id) {
-        long now = loop.clock().now();
-        Link best = null;
-        for (Link link : e.links) {
-            boolean usable = !link.connection.isFinishing() && link.calls.size() < wiring.streams() && !link.doubtful
-                    && !link.silent(now) && !link.stale.contains(id) && !link.calls.containsKey(id);
-            boolean better = best == null || link.calls.size() < best.calls.size()
-                    || link.calls.size() == best.calls.size() && link.restedAt > best.restedAt;
-            if (usable && better) {
-                best = link;
-            }
+        Link best = best(e, id);
+        // An engine closes what rests, maybe just now: written there, nobody could tell whether the request ran.
+        while (best != null && best.calls.isEmpty() && best.connection.hasEnded()) {
+            best = best(e, id);
         }
         int fair = Math.max(1, mostLinks / Math.max(1, engines.size()));
         boolean more = e.links.size() < Math.min(fair, MOST_CONNECTIONS) && links < mostLinks;
@@ -277,6 +273,21 @@
         }
     }
 
+    private Link best(Engine e, String id) {
+        long now = loop.clock().now();
+        Link best = null;
+        for (Link link : e.links) {
+            boolean usable = !link.connection.isFinishing() && link.calls.size() < wiring.streams() && !link.doubtful
+                    && !link.silent(now) && !link.stale.contains(id) && !link.calls.containsKey(id);
+            boolean better = best == null || link.calls.size() < best.calls.size()
+                    || link.calls.size() == best.calls.size() && link.restedAt > best.restedAt;
+            if (usable && better) {
+                best = link;
+            }
+        }
+        return best;
+    }
+
     /** One connection to an engine and the attempts on it by request id. */
     private final class Link implements Connection.Handler {
         final Engine engine;
@@ -429,9 +440,14 @@
         @Override
         public void connected(Connection c) {
             heardAt = loop.clock().now();
-            List<Call> waiting = List.copyOf(unsent);
-            unsent.clear();
-            waiting.forEach(this::write);
+            for (Call call : List.copyOf(unsent)) {
+                boolean may = gateway.mayGoOut(call.attempt);
+                if (unsent.remove(call) && may) {
+                    write(call);
+                } else {
+                    end(call, Outcome.MOOT, null);
+                }
+            }
             probes.keySet().forEach(tag -> tell("STAT", tag));
             inDoubt.forEach(link -> link.endAll(Outcome.SPOILT));
             inDoubt.clear();
@@ -612,10 +628,12 @@
             List<Call> never = List.copyOf(unsent);
             unsent.clear();
             for (Call call : never) {
-                if (c.wasReset() && call.dials < 2 && !engine.draining && calls.remove(call.attempt.request.id, call)) {
+                boolean again = c.wasReset() && call.dials < 2 && !engine.draining;
+                boolean may = again && gateway.mayGoOut(call.attempt);
+                if (may && calls.remove(call.attempt.request.id, call)) {
                     place(engine, call);
                 } else {
-                    end(call, Outcome.CONNECT_FAILED, null);
+                    end(call, again ? Outcome.MOOT : Outcome.CONNECT_FAILED, null);
                 }
             }
             inDoubt.forEach(link -> link.endAll(c.wasReset() ? Outcome.SPOILT : Outcome.RESET)); // Somebody was there.
--- a/src/measure/java/calicostream/core/Sides.java
+++ b/src/measure/java/calicostream/core/Sides.java
@@ -39,6 +39,8 @@
     public final List<Gateway.Request> kept = new ArrayList<>();
     /** Engines where no request has room. */
     public final Set<Long> full = new HashSet<>();
+    /** Tags of requests whose clients have gone, which nothing but a question tells. */
+    public final Set<Long> left = new HashSet<>();
     /** Requests are kept before the module. */
     public boolean keeps;
     /** How attempts end while they are being sent; null: not before somebody says so. */
@@ -126,6 +128,11 @@
         told.add("gone " + engine);
     }
 
+    @Override
+    public boolean hasLeft(long tag) {
+        return left.contains(tag);
+    }
+
     @Override
     public void served(long tag, Object result) {
         told.add(result == null ? "whole " + tag : "served " + tag + " " + new String((byte[]) result));
--- a/src/test/java/calicostream/core/GatewayTest.java
+++ b/src/test/java/calicostream/core/GatewayTest.java
@@ -177,6 +177,70 @@
         assertEquals(4, told.size(), told.toString());
     }
 
+    /** Engines of one cell know a repeat of theirs; a client that is told to ask again may come to any. */
+    @Test
+    void givingUpAllRefusesARepeatByKeyOnlyWhereAllEnginesKnowIt() {
+        for (String scope : new String[] {"all", "cell"}) {
+            Sides keyed = new Sides(Sides.TWO_LANES.replace("lanes.0.effect=repeatable", "lanes.0.effect=by_key\nlanes.0.key_scope="
+                    + scope + "\nlanes.0.window_us=500000"));
+            keyed.start(7, 8);
+            keyed.gateway.accept(keyed, 1, "id1", 0, 1, 4_000_000, new byte[0]);
+            assertEquals(1, keyed.sent.size());
+            keyed.gateway.giveUpAll();
+            assertEquals(List.of("stop 0", scope.equals("all") ? "refused 1" : "failed 1 ENGINE"), keyed.told);
+        }
+    }
+
+    /** The module's own clock of the window and the core's agree; whoever asks later is not heard. */
+    @Test
+    void noRepeatByKeyIsSentAfterItsWindow() {
+        Sides keyed = new Sides(Sides.TWO_LANES.replace("lanes.0.effect=repeatable",
+                "lanes.0.effect=by_key\nlanes.0.key_scope=all\nlanes.0.window_us=500000"));
+        keyed.start(7, 8);
+        long handle = keyed.gateway.accept(keyed, 1, "id1", 0, 1, 4_000_000, new byte[0]);
+        keyed.pass(400_000);
+        keyed.full.addAll(Set.of(7L, 8L));
+        keyed.gateway.ended(keyed.sent.get(0), Outcome.RESET, null, null);
+        assertEquals(1, keyed.sent.size(), "held, as none has room");
+        keyed.pass(100_000);
+        keyed.full.clear();
+        keyed.gateway.send(handle, 8, 0);
+        keyed.pass(4_000_000);
+        assertEquals(1, keyed.sent.size());
+        assertEquals(1, keyed.told.size(), keyed.told.toString());
+    }
+
+    /** What ends makes room, and what waits must not go there in the last moment: a load would then have failed for nothing. */
+    @Test
+    void givingUpAllSendsNothingMore() {
+        ask(0, 1, 4_000_000);
+        sides.full.addAll(Set.of(7L, 8L));
+        ask(1, 2, 20_000_000);
+        assertEquals(1, sent.size());
+        sides.full.clear();
+        gateway.giveUpAll();
+        assertEquals(1, sent.size());
+        assertEquals(List.of("refused 2", "stop 0", "refused 1"), told);
+    }
+
+    /** What a client has said or done may still be unread when its request is sent. */
+    @Test
+    void nothingIsSentForAClientThatHasLeft() {
+        sides.full.addAll(Set.of(7L, 8L));
+        ask(0, 1, 4_000_000);
+        ask(1, 2, 4_000_000);
+        sides.left.add(1L);
+        sides.full.clear();
+        pass(100_000);
+        assertEquals(List.of(2L), sent.stream().map(attempt -> attempt.request.tag()).toList());
+        sides.left.add(2L);
+        gateway.ended(sent.get(0), Outcome.FULL, null, null);
+        pass(5_000_000);
+        assertEquals(1, sent.size());
+        assertEquals(0, gateway.open());
+        assertEquals(List.of(), told, "nobody waits for an answer");
+    }
+
     /** What waits for a connection when an operator takes the engine out ends there, and goes elsewhere. */
     @Test
     void anEngineIsUsedOnlyWhereNeitherTheListNorAnOperatorForbidsIt() {
--- a/src/test/java/calicostream/wire/RespStand.java
+++ b/src/test/java/calicostream/wire/RespStand.java
@@ -111,6 +111,20 @@
         reset(last);
     }
 
+    /** Waits until what was sent on the connection on which this id was asked for has been read. */
+    public void awaitRead(String id) throws IOException {
+        Peer peer = asked.get(id);
+        SocketTable.awaitRead(peer.socket.getPort(), peer.socket.getLocalPort());
+    }
+
+    /** Ends the connection of the last command without a reset, and waits until the other side's socket has heard of it. */
+    public void leave() throws IOException {
+        int local = last.socket.getLocalPort();
+        int remote = last.socket.getPort();
+        last.socket.close();
+        SocketTable.awaitEnd(remote, local);
+    }
+
     private static void reset(Peer peer) throws IOException {
         if (!peer.socket.isClosed()) {
             peer.socket.setSoLinger(true, 0);
