Cold engines fall at N + 2 root N + 2, and thirty front ends are tested together

Change: the harness has the new bound; MassTest plays thirty front ends before eight engines, two in three killed at once while half of the engines are replaced.

--- a/src/measure/java/calicostream/deployments/ColdAccount.java
+++ b/src/measure/java/calicostream/deployments/ColdAccount.java
@@ -4,7 +4,7 @@
 import java.util.ArrayDeque;
 
 /**
- * What all front ends together send an engine that has just started, in the rule's window. It would fall at more than N + 3 root N + 3
+ * What all front ends together send an engine that has just started, in the rule's window. It would fall at more than N + 2 root N + 2
  * requests of mean work, where N is the multiple allowed of what it can do now; front ends not told of the start count to a third.
  */
 final class ColdAccount {
@@ -33,7 +33,7 @@
         double n = draw.figures().multiple() * capacity / mean;
         double all = sent.stream().mapToDouble(Sent::work).sum() / mean;
         double informed = sent.stream().filter(Sent::told).mapToDouble(Sent::work).sum() / mean;
-        double share = all / (n + 3 * Math.sqrt(n) + 3);
+        double share = all / (n + 2 * Math.sqrt(n) + 2);
         peak = Math.max(peak, share);
         if (share > 1) {
             sent.clear();
--- a/src/measure/java/calicostream/mass/Fleet.java
+++ b/src/measure/java/calicostream/mass/Fleet.java
@@ -31,6 +31,12 @@
             return new Shape(14, 14, 60, 2, 480, usual.rules, usual.fees, usual.deadlineUs, 2_000_000);
         }
 
+        /** Thirty front ends before a few engines, which they keep full. */
+        static Shape throng() {
+            Shape usual = usual();
+            return new Shape(30, 30, 8, 2, 70, usual.rules, usual.fees, usual.deadlineUs, 2_000_000);
+        }
+
         Shape told(int number) {
             return new Shape(gateways, number, engines, zones, queriesPerS, rules, fees, deadlineUs, listLateUs);
         }
--- a/src/measure/java/calicostream/mass/MassRuns.java
+++ b/src/measure/java/calicostream/mass/MassRuns.java
@@ -39,6 +39,11 @@
         return storm(fleet, 70, REPLACED);
     }
 
+    /** Two in three of thirty front ends are killed at once, while half of the few engines are replaced. */
+    static List<EngineModel> throng(Fleet fleet) {
+        return storm(fleet, 20, 4);
+    }
+
     /** Six in ten engines are replaced: the cold ones are needed. */
     static List<EngineModel> join(Fleet fleet) {
         return storm(fleet, 0, MOST_REPLACED);
--- a/src/test/java/calicostream/mass/MassTest.java
+++ b/src/test/java/calicostream/mass/MassTest.java
@@ -29,6 +29,20 @@
         assertEquals(Map.of(), fleet.violations());
     }
 
+    /** Thirty have a thirtieth each, and their turns must not add up to more than the rule allows, also where they all have just started. */
+    @Test
+    void thirtyFrontEndsTogetherSpareAFewColdEngines() {
+        for (long seed = SEED; seed < SEED + 3; seed++) {
+            Fleet fleet = Fleet.ofModules(Fleet.Shape.throng(), seed);
+            fleet.run(10 * S);
+            List<EngineModel> cold = MassRuns.throng(fleet);
+            fleet.run(14 * S);
+            double peak = MassRuns.peak(cold);
+            assertTrue(peak > 0 && peak <= 1, "seed " + seed + ": peak " + peak);
+            assertEquals(Map.of(), fleet.violations(), "seed " + seed);
+        }
+    }
+
     @Test
     void coldEnginesAreUsedWhereTheyAreNeeded() {
         Fleet fleet = Fleet.ofModules(Fleet.Shape.usual(), SEED);
