Clients that send nothing of use are ended whatever comes

Cause: with ends that read first, a client that sends empty lines had something unread at each look, so it would have stayed for good and could not be spared for another.

--- a/src/main/java/calicostream/platform/JsonRpcFront.java
+++ b/src/main/java/calicostream/platform/JsonRpcFront.java
@@ -137,7 +137,7 @@
         PriorityQueue<Client> spared = new PriorityQueue<>(order);
         clients.stream().filter(c -> c.need(now) < Client.NEEDED).forEach(spared::add);
         for (Client least = spared.poll(); least != null; least = spared.poll()) {
-            if (least.saysNothing()) {
+            if (least.saysNothing(now)) {
                 least.connection.close();
                 return true;
             }
@@ -316,10 +316,15 @@
             return connection.hasEnded() || cancels.name(p.id, p.requestId);
         }
 
-        /** Whether nothing has come from it that was not handled. */
-        boolean saysNothing() {
+        /** Whether nothing has come from it that was not handled, or nothing of use for so long that this is no more likely to be. */
+        boolean saysNothing(long now) {
             int known = connection.in().size();
-            return connection.hasEnded() || connection.in().size() == known;
+            return connection.hasEnded() || connection.in().size() == known || isUseless(now);
+        }
+
+        /** Some only ever send what is no request: a client that has said nothing else for this long need not be heard out. */
+        private boolean isUseless(long now) {
+            return !served && open.isEmpty() && now - restsSince > 2 * SPEAKS;
         }
 
         /** From now on, unless a request is open. */
@@ -345,6 +350,8 @@
             }
             if (half && now - (served ? lineSince : restsSince) > HALF_LINE) {
                 end("the line did not end in time");
+            } else if (isUseless(now)) {
+                connection.finish();
             } else if (now - restsSince > (served ? REST : SPEAKS)) {
                 letGo();
             }
--- a/src/test/java/calicostream/platform/CrossingsTest.java
+++ b/src/test/java/calicostream/platform/CrossingsTest.java
@@ -355,6 +355,30 @@
         serve(other, 1);
     }
 
+    /** Empty lines are nothing to wait for, though each comes in the moment of the look. */
+    @Test
+    void whoSendsNothingOfUseIsToldGoodbyeWhateverComes() throws Exception {
+        Client client = rig.client();
+        Client other = rig.client();
+        warm(other);
+        rig.on(() -> {
+            client.sendUnread("\n\n");
+            rig.clock.advance(5_000_000);
+            assertTrue(rig.front.spareOne(), "it keeps nobody out");
+            return null;
+        });
+        assertNull(client.line());
+        Client again = rig.client();
+        rig.on(() -> null);
+        rig.on(() -> {
+            again.sendUnread("\n\n");
+            rig.clock.advance(5_000_000); // The look comes in this turn.
+            return null;
+        });
+        assertNull(again.line());
+        serve(rig.client(), 1);
+    }
+
     /** All descriptors for clients are taken, and another client comes. */
     @Test
     void whoHasJustAskedIsNotSparedForAnother() throws Exception {
