--- a/src/main/java/calicostream/platform/JsonRpc.java
+++ b/src/main/java/calicostream/platform/JsonRpc.java
@@ -3,6 +3,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Set;
+import java.util.regex.Pattern;
 
 /**
  * One JSON-RPC line: a reader of JSON that keeps the few members the platform's protocol has, so that the
@@ -27,13 +28,16 @@
         }
     }
 
-    private static final Set<String> MARKS = Set.of("/params/o", "/params/h", "/params/ram", "/params/r");
+    private static final Set<String> MARKS = Set.of("/params/o", "/params/h", "/params/ram", "/params/r", "/params/k");
     private static final long FNV_START = 0xcbf29ce484222325L; // FNV-1a, 64 bits
     private static final long FNV_PRIME = 0x100000001b3L;
     private static final int LONGEST_KEY = 64;
+    private static final Pattern REPEAT_KEY = Pattern.compile("[!-~&&[^,=]]{1,64}"); // fits into engines' lists of fields
     private static final double MOST = 1e12; // of an estimate: beyond any work or memory there is
 
     String version, method, requestId, content, paramsId, order;
+    /** By which engines know a repeat, or null; it passes on unchanged. */
+    String repeatKey;
     double id = Double.NaN;
     double wait = Double.NaN;
     double paramsNumber = Double.NaN;
@@ -136,6 +140,7 @@
             case "/params/content": content = value; break;
             case "/params/id": paramsId = value; break;
             case "/params/o": order = value; break;
+            case "/params/k": repeatKey = value; break;
             default: mistyped |= MARKS.contains(path); break;
         }
     }
@@ -152,10 +157,11 @@
         }
     }
 
-    /** Whether the marks that a request may carry, key, estimates and retry, are of their type and range. */
+    /** Whether the marks that a request may carry, keys, estimates and retry, are of their type and range. */
     boolean hasUsableMarks() {
         boolean named = order == null || !order.isEmpty() && order.length() <= LONGEST_KEY;
-        return !mistyped && named && work >= 0 && work <= MOST && memory >= 0 && memory <= MOST
+        boolean repeats = repeatKey == null || REPEAT_KEY.matcher(repeatKey).matches();
+        return !mistyped && named && repeats && work >= 0 && work <= MOST && memory >= 0 && memory <= MOST
                 && (retry == 0 || retry == 1);
     }
 
--- a/src/main/java/calicostream/platform/JsonRpcFront.java
+++ b/src/main/java/calicostream/platform/JsonRpcFront.java
@@ -427,7 +427,7 @@
             int group = Math.max(0, Statement.tableGroup(body));
             QueryRouter.Query asked = new QueryRouter.Query(0, classNames.indexOf(message.method), 0, message.key(), left,
                     message.work * 1000, message.memory, group, message.retry == 1);
-            p.handle = gateway.accept(JsonRpcFront.this, tag, message.requestId, asked, body, null);
+            p.handle = gateway.accept(JsonRpcFront.this, tag, message.requestId, asked, body, message.repeatKey);
         }
 
         private byte[] body(String content) {
--- a/src/main/java/calicostream/platform/RespEngines.java
+++ b/src/main/java/calicostream/platform/RespEngines.java
@@ -351,7 +351,8 @@
             call.writtenAt = loop.clock().now();
             long waitMs = Math.max(1, (a.giveUpAt - loop.clock().now()) / 1000);
             String fields = "class=" + classNames.get(a.request.queryClass) + ",wait=" + waitMs
-                    + ",urgency=" + a.request.priority();
+                    + ",urgency=" + a.request.priority()
+                    + (a.request.work instanceof String repeatKey ? ",once=" + repeatKey : "");
             boolean sent = connection.write(Resp.array(Resp.ascii("REQ"), Resp.ascii(a.request.id),
                     Resp.ascii(fields), a.request.body));
             LOG.debug("{} attempt {} to {} by connection {}", a.request.id, a.number, engine.address, number);
