Test: one loop thread for three classes; a closed channel is waited for, not looked at once

ConnectionTest, ProbesTest and FrontRig each had the same thread and hand-over of work. Change: the tests wait for the condition; a dial lasts longer than any wait, so without the mend they still fail. LoopThread is shared.

--- a/src/test/java/calicostream/net/ConnectionTest.java
+++ b/src/test/java/calicostream/net/ConnectionTest.java
@@ -15,7 +15,6 @@
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.FutureTask;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
@@ -31,6 +30,7 @@
     private final AtomicLong ahead = new AtomicLong();
     private final CompletableFuture<Connection> accepted = new CompletableFuture<>();
     private Loop loop;
+    private LoopThread thread;
     private Socket client;
     private Connection connection;
 
@@ -61,15 +61,7 @@
                 return false;
             }
         });
-        Thread thread = new Thread(() -> {
-            try {
-                loop.run();
-            } catch (IOException e) {
-                throw new IllegalStateException(e);
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
+        thread = new LoopThread(loop);
         client = new Socket();
         client.setReceiveBufferSize(8 * 1024);
         client.setSoTimeout(PATIENCE_S * 1000);
@@ -84,9 +76,7 @@
     }
 
     private <T> T on(Callable<T> work) throws Exception {
-        FutureTask<T> task = new FutureTask<>(work);
-        loop.post(task);
-        return task.get(PATIENCE_S, TimeUnit.SECONDS);
+        return thread.on(work);
     }
 
     /** Writes until the socket takes no more and half of the ring is full; the bytes queued. */
--- /dev/null
+++ b/src/test/java/calicostream/net/LoopThread.java
@@ -0,0 +1,32 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.net;
+
+import java.io.IOException;
+import java.util.concurrent.Callable;
+import java.util.concurrent.FutureTask;
+import java.util.concurrent.TimeUnit;
+
+/** A loop on a thread of its own, and work that a test does on it, in one turn. */
+public final class LoopThread {
+    private static final int PATIENCE_S = 20;
+    private final Loop loop;
+
+    public LoopThread(Loop loop) {
+        this.loop = loop;
+        Thread thread = new Thread(() -> {
+            try {
+                loop.run();
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    public <T> T on(Callable<T> work) throws Exception {
+        FutureTask<T> task = new FutureTask<>(work);
+        loop.post(task);
+        return task.get(PATIENCE_S, TimeUnit.SECONDS);
+    }
+}
--- a/src/test/java/calicostream/platform/CrossingsTest.java
+++ b/src/test/java/calicostream/platform/CrossingsTest.java
@@ -278,8 +278,7 @@
             });
             SocketTable.awaitAsked(old.address().getPort());
             rig.listed(ENGINE, stand.address());
-            rig.on(() -> null);
-            assertTrue(SocketTable.isNobodyAsking(old.address().getPort()), "it is still on its way there");
+            SocketTable.awaitNobodyAsks(old.address().getPort());
             assertTrue(stand.command().startsWith("REQ|" + id(1)));
             stand.answer(id(1) + "|DONE|sheets=1|row\n");
             assertEquals("served row", asker.answer());
@@ -302,8 +301,7 @@
                 rig.list(OTHER, FrontRig.WIDE, stand.address(), EngineState.READY);
                 return null;
             });
-            rig.on(() -> null);
-            assertTrue(SocketTable.isNobodyAsking(late.address().getPort()), "it is still on its way there");
+            SocketTable.awaitNobodyAsks(late.address().getPort());
             assertTrue(stand.command().startsWith("REQ|" + id(1)), "it never ran, so another may have it");
         }
     }
--- a/src/test/java/calicostream/platform/FrontRig.java
+++ b/src/test/java/calicostream/platform/FrontRig.java
@@ -11,6 +11,7 @@
 import calicostream.core.Gateway;
 import calicostream.core.Watcher;
 import calicostream.net.Loop;
+import calicostream.net.LoopThread;
 import calicostream.wire.Program;
 import calicostream.wire.SocketTable;
 import java.io.BufferedReader;
@@ -24,7 +25,6 @@
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Callable;
-import java.util.concurrent.FutureTask;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -40,7 +40,7 @@
     static final int LOAD = 1;
     static final int KEYED = 2;
     static final long WINDOW_MS = 300;
-    private static final String SETTINGS = "lanes.count=3\nfamily_info.kind_cores=12,1\nceilings.dial_timeout_us=15000000\n"
+    private static final String SETTINGS = "lanes.count=3\nfamily_info.kind_cores=12,1\nceilings.dial_timeout_us=60000000\n"
             + "ceilings.max_attempts=5\nceilings.cancel=true\n"
             + "rules.cold_share=0.3\nrules.warm_up_us=14000000\nrules.fall_us=2000000\nrules.overload_factor=4\n"
             + lane(LOOK, "look", "repeatable") + lane(LOAD, "load", "once") + lane(KEYED, "keyed", "by_key")
@@ -48,6 +48,7 @@
     final SettingsParser settings = SettingsParser.ofLines(SETTINGS);
     final SetClock clock = new SetClock();
     final Loop loop;
+    private final LoopThread thread;
     final RespEngines side;
     final Gateway gateway;
     final JsonRpcFront front;
@@ -83,15 +84,7 @@
         side = new RespEngines(loop, settings.classNames(), settings.wiring(), 16);
         gateway = new Gateway(clock, loop.deadlines(), settings.settings(), Watcher.NONE);
         front = new JsonRpcFront(loop, gateway, settings.classNames(), 9_000_000, rows -> (byte[]) rows);
-        Thread thread = new Thread(() -> {
-            try {
-                loop.run();
-            } catch (IOException e) {
-                throw new IllegalStateException(e);
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
+        thread = new LoopThread(loop);
         on(() -> {
             gateway.start(side, List.of());
             front.most(100);
@@ -102,9 +95,7 @@
 
     /** Does the work in one turn of the loop. */
     <T> T on(Callable<T> work) throws Exception {
-        FutureTask<T> task = new FutureTask<>(work);
-        loop.post(task);
-        return task.get(Program.PATIENCE_MS, TimeUnit.MILLISECONDS);
+        return thread.on(work);
     }
 
     /** From the loop's thread: an engine in this state. */
--- a/src/test/java/calicostream/platform/ProbesTest.java
+++ b/src/test/java/calicostream/platform/ProbesTest.java
@@ -13,13 +13,12 @@
 import calicostream.core.Gateway;
 import calicostream.core.Watcher;
 import calicostream.net.Loop;
+import calicostream.net.LoopThread;
 import calicostream.wire.Program;
 import calicostream.wire.RespStand;
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.Callable;
-import java.util.concurrent.FutureTask;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -33,6 +32,7 @@
     private final SettingsParser settings = SettingsParser.ofLines(SETTINGS);
     private RespStand stand;
     private Loop loop;
+    private LoopThread thread;
     private RespEngines side;
     private Gateway gateway;
 
@@ -42,15 +42,7 @@
         loop = new Loop(new Clock(), new Deadlines());
         side = new RespEngines(loop, settings.classNames(), settings.wiring(), 16);
         gateway = new Gateway(new Clock(), loop.deadlines(), settings.settings(), Watcher.NONE);
-        Thread thread = new Thread(() -> {
-            try {
-                loop.run();
-            } catch (IOException e) {
-                throw new IllegalStateException(e);
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
+        thread = new LoopThread(loop);
         on(() -> {
             side.locate(ID, stand.address());
             gateway.start(side, List.of(new Engine(ID, 0, 0, 0, 0, EngineState.READY)));
@@ -65,9 +57,7 @@
     }
 
     private <T> T on(Callable<T> work) throws Exception {
-        FutureTask<T> task = new FutureTask<>(work);
-        loop.post(task);
-        return task.get(Program.PATIENCE_MS, TimeUnit.MILLISECONDS);
+        return thread.on(work);
     }
 
     private String probe() throws Exception {
--- a/src/test/java/calicostream/wire/SocketTable.java
+++ b/src/test/java/calicostream/wire/SocketTable.java
@@ -87,8 +87,14 @@
         await("that waits for its connection", r -> r.remote == remote && r.state == SYN_SENT);
     }
 
-    /** Whether no connection to this port is being asked for. */
-    public static boolean isNobodyAsking(int remote) throws IOException {
-        return rows().stream().noneMatch(r -> r.remote == remote && r.state == SYN_SENT);
+    /** Waits until no connection to this port is being asked for: a channel that is closed goes with the selector's next turn. */
+    public static void awaitNobodyAsks(int remote) throws IOException {
+        long end = System.nanoTime() + Program.PATIENCE_MS * 1_000_000;
+        while (rows().stream().anyMatch(r -> r.remote == remote && r.state == SYN_SENT)) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("it is still on its way there");
+            }
+            Thread.onSpinWait();
+        }
     }
 }
