Test: the end of a silent reader is looked for once its deadline has been handled

Cause: ConnectionTest.whoReadsNothingIsNotWaitedFor failed once in a whole verify (line 133). Work that a test posts runs before the deadlines of the same turn (Loop.run), and three pieces posted one after another can all run in one turn: the test then looked before the deadline had been handled. Ruled out: the connection itself, which has one deadline and compares what was written with what had been (Connection.awaitFlushed). Change: the test adds a deadline of its own behind the connection's and waits for it; of two seconds in which the system takes nothing more, one is a whole one. The same for the slow reader's test. Both are as strict as before: a connection that is not closed by then still fails.

--- a/src/test/java/calicostream/net/ConnectionTest.java
+++ b/src/test/java/calicostream/net/ConnectionTest.java
@@ -102,6 +102,17 @@
         return read;
     }
 
+    /** Turns the clock on, and waits until all that is due by then has been done: deadlines are kept in their order. */
+    private void passASecond() throws Exception {
+        ahead.addAndGet(LINGERS);
+        CompletableFuture<Void> due = new CompletableFuture<>();
+        on(() -> {
+            loop.deadlines().add(loop.clock().now(), (now, ref) -> due.complete(null), 0);
+            return null;
+        });
+        due.get(PATIENCE_S, TimeUnit.SECONDS);
+    }
+
     @Test
     void whoReadsSlowlyHasAllOfTheLastAnswer() throws Exception {
         long queued = fill();
@@ -113,9 +124,7 @@
         long read = 0;
         for (int second = 0; second < 3; second++) {
             read += readUntilWritten(in, 1);
-            ahead.addAndGet(LINGERS);
-            on(() -> null);
-            on(() -> null);
+            passASecond();
         }
         assertEquals(queued, read + in.readAllBytes().length);
     }
@@ -127,9 +136,12 @@
             connection.finish();
             return null;
         });
-        ahead.addAndGet(LINGERS);
-        on(() -> null);
-        on(() -> null);
+        // The system itself may take some more, which can't be told from reading; of two seconds without, one is a whole one.
+        for (int quiet = 0; quiet < 2;) {
+            long before = on(connection::written);
+            passASecond();
+            quiet = on(connection::written) > before ? 0 : quiet + 1;
+        }
         assertTrue(on(connection::isClosed));
     }
 }
