Listener: the selector lets go of it before the last look for who has connected

Cause: the system closes a channel only once the selector has let go of it, with its next turn (a closed channel that is still registered stays open). From the last accept of Listener.takeAllAndClose until then who connected was let in, and reset with the close. Change: Loop.release cancels the key and has the selector forget it, then the listener takes who came meanwhile and closes at once. What is left is the moment between two calls of the system. Measured: CrossingsTest.whoConnectsBehindTheShutdownIsRefused fails without, green with; whoWaitsToBeTakenAtTheShutdownIsServed holds with both.

--- a/src/main/java/calicostream/net/Listener.java
+++ b/src/main/java/calicostream/net/Listener.java
@@ -41,18 +41,27 @@
         most = count;
     }
 
-    /** Takes all that have connected so far, as closing would reset them, and takes no more. */
+    /**
+     * Takes all that have connected so far, as closing would reset them, and takes no more: who comes later is refused. The
+     * system listens on for as long as the selector knows the channel, so it is let go before the last look.
+     */
     public void takeAllAndClose() throws IOException {
         try {
-            for (SocketChannel next = channel.accept(); next != null; next = channel.accept()) {
-                open++;
-                take(next);
-            }
+            takeAll();
+            loop.release(key);
+            takeAll();
         } finally {
             channel.close();
         }
     }
 
+    private void takeAll() throws IOException {
+        for (SocketChannel next = channel.accept(); next != null; next = channel.accept()) {
+            open++;
+            take(next);
+        }
+    }
+
     /** One whose connections are taken before all that is not urgent. */
     public static Listener urgent(Loop loop, InetSocketAddress at, int most, Taker taker) throws IOException {
         return new Listener(loop, at, most, taker, true);
--- a/src/main/java/calicostream/net/Loop.java
+++ b/src/main/java/calicostream/net/Loop.java
@@ -124,6 +124,12 @@
         return channel.register(selector, interest, ready);
     }
 
+    /** From the loop's thread: the selector lets go of a channel now, so that closing it takes hold at once and not with its next turn. */
+    void release(SelectionKey key) throws IOException {
+        key.cancel();
+        select(NOT_AT_ALL);
+    }
+
     /** A selector may fail by itself; the channels have no part in that and go on with another one. */
     private void select(long ms) throws IOException {
         try {
--- a/src/test/java/calicostream/platform/CrossingsTest.java
+++ b/src/test/java/calicostream/platform/CrossingsTest.java
@@ -10,6 +10,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import calicostream.QueryRouter.EngineState;
@@ -18,6 +19,7 @@
 import calicostream.wire.LateStand;
 import calicostream.wire.RespStand;
 import calicostream.wire.SocketTable;
+import java.net.ConnectException;
 import java.net.Socket;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -420,6 +422,35 @@
         assertNull(rests.line());
     }
 
+    /** It has connected and asked, and nobody has taken its connection yet when the front takes no more: closing would reset it. */
+    @Test
+    void whoWaitsToBeTakenAtTheShutdownIsServed() throws Exception {
+        Client client = rig.client();
+        warm(client);
+        Client late = rig.on(() -> {
+            Client connects = rig.clientOf(client.port());
+            connects.send(request("look", 901));
+            SocketTable.awaitUnread(client.port(), connects.socket.getLocalPort(), request("look", 901).length());
+            rig.retire();
+            return connects;
+        });
+        assertServed(late, 901);
+        assertNull(late.line());
+    }
+
+    /** It connects in the turn in which the front has taken the last one: it must be refused, not let in and reset. */
+    @Test
+    void whoConnectsBehindTheShutdownIsRefused() throws Exception {
+        Client client = rig.client();
+        warm(client);
+        rig.on(() -> {
+            rig.retire();
+            assertThrows(ConnectException.class, () -> rig.clientOf(client.port()));
+            return null;
+        });
+        assertNull(client.line());
+    }
+
     /** A request read once its connection is being ended can't be answered: it must not run. */
     @Test
     void aRequestBehindTheLastWordIsNotSent() throws Exception {
--- a/src/test/java/calicostream/platform/FrontRig.java
+++ b/src/test/java/calicostream/platform/FrontRig.java
@@ -116,7 +116,12 @@
     }
 
     Client client() throws Exception {
-        Client client = new Client(on(front::port));
+        return clientOf(on(front::port));
+    }
+
+    /** From any thread. */
+    Client clientOf(int port) throws IOException {
+        Client client = new Client(port);
         clients.add(client);
         return client;
     }
