Test: 7 s without the change log have a test; deadlines are waited for where turns were counted

What it showed by the way, that clients come without the log, has a test of its own: not before 7 s from the start, then served. LoopThread.awaitDue replaces two turns that may be one where a test asserts that nothing arrived.

--- a/src/test/java/calicostream/net/ConnectionTest.java
+++ b/src/test/java/calicostream/net/ConnectionTest.java
@@ -102,15 +102,9 @@
         return read;
     }
 
-    /** Turns the clock on, and waits until all that is due by then has been done: deadlines are kept in their order. */
     private void passASecond() throws Exception {
         ahead.addAndGet(LINGERS);
-        CompletableFuture<Void> due = new CompletableFuture<>();
-        on(() -> {
-            loop.deadlines().add(loop.clock().now(), (now, ref) -> due.complete(null), 0);
-            return null;
-        });
-        due.get(PATIENCE_S, TimeUnit.SECONDS);
+        thread.awaitDue();
     }
 
     @Test
--- a/src/test/java/calicostream/net/LoopThread.java
+++ b/src/test/java/calicostream/net/LoopThread.java
@@ -3,6 +3,7 @@
 
 import java.io.IOException;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.FutureTask;
 import java.util.concurrent.TimeUnit;
 
@@ -24,6 +25,16 @@
         thread.start();
     }
 
+    /** Waits until all that is due has been done: it comes behind what a turn was given to do, and several pieces of that may share one turn. */
+    public void awaitDue() throws Exception {
+        CompletableFuture<Void> due = new CompletableFuture<>();
+        on(() -> {
+            loop.deadlines().add(loop.clock().now(), (now, ref) -> due.complete(null), 0);
+            return null;
+        });
+        due.get(PATIENCE_S, TimeUnit.SECONDS);
+    }
+
     public <T> T on(Callable<T> work) throws Exception {
         FutureTask<T> task = new FutureTask<>(work);
         loop.post(task);
--- a/src/test/java/calicostream/wire/ConfigurationTest.java
+++ b/src/test/java/calicostream/wire/ConfigurationTest.java
@@ -56,6 +56,20 @@
         }
     }
 
+    /** The log is there and never answers: what it got since the start counts as told after 7 s, and not before. */
+    @Test
+    void withoutTheChangeLogClientsComeSevenSecondsAfterTheStart() throws Exception {
+        try (ChangeLogStand log = new ChangeLogStand(); RespStand engine = new RespStand()) {
+            long from = System.nanoTime();
+            try (Program program = new Program(folder, log.port(), List.of(Program.endpoint("e1", engine.address(), "Ready", 0)))) {
+                program.awaitLine("the change log has not told all");
+                int port = program.port("listens on port");
+                assertTrue(System.nanoTime() - from >= 7_000_000_000L, "it came before the list could");
+                Program.ask(port, engine, 1);
+            }
+        }
+    }
+
     @Test
     void bothFormsOfTheSettingsReadAlike() {
         String lines = "balancers=2\nstats.columns=util,inflight\nstats.how=inline\nlanes.count=1\nlanes.0.name=a_b\n"
--- a/src/test/java/calicostream/wire/FlightFrontTest.java
+++ b/src/test/java/calicostream/wire/FlightFrontTest.java
@@ -40,6 +40,8 @@
         log = new ChangeLogStand();
         program = new Program(folder, log.port(), List.of(Program.endpoint("e1", engine.address(), "Ready", 0)),
                 stand.deploy());
+        log.follow();
+        log.stayAwake();
         stand.connect(program);
         client = stand.client();
     }
@@ -58,6 +60,7 @@
     void secondProcessListensOnTheSameAddress() throws Exception {
         String known = Program.endpoint("e1", engine.address(), "Ready", 0);
         try (Program second = new Program(folder, log.port(), List.of(known), FlightStand.deploy(stand.port()))) {
+            log.follow();
             assertEquals(stand.port(), second.port("Flight SQL listens on port"));
         }
     }
