Probes: none by a connection its engine has closed; our own closes are no failures

Cause, by reading RespEngines: probe() took a resting connection without the look that choose() takes, so that a question crossed its engine's close and ended as spoilt; idle() counted from the last request alone and closed under a question that was out; locate() closed what was on its way to an old address, and closed() told of the question on it as of an engine that can't be reached: the engine that had just come was left out for a second. Ruled out: requests, which the same closes give back as never run. Change: both choices look for an end first (Link.restsEnded); a question is use of its connection; closes of our own choice end questions as moot (Link.leave). Measured: three cases of ProbesTest, each fails without.

--- a/src/main/java/calicostream/platform/RespEngines.java
+++ b/src/main/java/calicostream/platform/RespEngines.java
@@ -129,7 +129,7 @@
             e.address = address;
             closeIdle(e);
             // What waits for a connection to the old address must not reach whoever listens there now.
-            List.copyOf(e.links).stream().filter(link -> !link.connection.isConnected()).forEach(link -> link.connection.close());
+            List.copyOf(e.links).stream().filter(link -> !link.connection.isConnected()).forEach(Link::leave);
         }
     }
 
@@ -176,10 +176,10 @@
     public boolean probe(long id) {
         Engine e = engines.get(id);
         long now = loop.clock().now();
-        Link link = e == null ? null : e.links.stream()
-                .filter(l -> !l.connection.isClosed() && !l.connection.isFinishing() && !l.doubtful && !l.silent(now))
-                .min(Comparator.comparing((Link l) -> !l.connection.isConnected()).thenComparingInt(l -> l.calls.size()))
-                .orElse(null);
+        Link link = e == null ? null : toAsk(e, now);
+        while (link != null && link.restsEnded()) {
+            link = toAsk(e, now);
+        }
         if (e == null || link == null && links >= mostLinks) {
             return false;
         }
@@ -194,6 +194,12 @@
         }
     }
 
+    private static Link toAsk(Engine e, long now) {
+        return e.links.stream().filter(l -> !l.connection.isFinishing() && !l.doubtful && !l.silent(now))
+                .min(Comparator.comparing((Link l) -> !l.connection.isConnected()).thenComparingInt(l -> l.calls.size()))
+                .orElse(null);
+    }
+
     @Override
     public void priority(Gateway.Attempt attempt) {
         if (attempt.link instanceof Call call && !call.link.unsent.contains(call)) {
@@ -246,7 +252,7 @@
     }
 
     private static void closeIdle(Engine e) {
-        List.copyOf(e.links).stream().filter(l -> l.calls.isEmpty()).forEach(l -> l.connection.close());
+        List.copyOf(e.links).stream().filter(l -> l.calls.isEmpty()).forEach(Link::leave);
     }
 
     /**
@@ -256,8 +262,7 @@
      */
     private Link choose(Engine e, String id) {
         Link best = best(e, id);
-        // An engine closes what rests, maybe just now: written there, nobody could tell whether the request ran.
-        while (best != null && best.calls.isEmpty() && best.connection.hasEnded()) {
+        while (best != null && best.restsEnded()) {
             best = best(e, id);
         }
         int fair = Math.max(1, mostLinks / Math.max(1, engines.size()));
@@ -334,11 +339,23 @@
         void ask(Probe probe) {
             probes.values().removeIf(each -> each.over);
             probes.put(probe.tag, probe);
+            restedAt = loop.clock().now(); // It does not rest while its engine is about to answer.
             if (connection.isConnected()) {
                 tell("STAT", probe.tag);
             }
         }
 
+        /** An engine closes what rests, maybe just now: written there, nobody could tell whether a request ran. */
+        boolean restsEnded() {
+            return calls.isEmpty() && connection.hasEnded();
+        }
+
+        /** Closed by our own choice, it tells nothing of its engine. */
+        void leave() {
+            List.copyOf(probes.values()).forEach(probe -> probe.end(Outcome.MOOT, null));
+            connection.close();
+        }
+
         private void write(Call call) {
             Gateway.Attempt a = call.attempt;
             Gateway.Attempt before = a.request.before();
--- a/src/test/java/calicostream/platform/ProbesTest.java
+++ b/src/test/java/calicostream/platform/ProbesTest.java
@@ -8,12 +8,12 @@
 import calicostream.QueryRouter.EngineState;
 import calicostream.QueryRouter.RosterKind;
 import calicostream.SettingsParser;
-import calicostream.core.Clock;
 import calicostream.core.Deadlines;
 import calicostream.core.Gateway;
 import calicostream.core.Watcher;
 import calicostream.net.Loop;
 import calicostream.net.LoopThread;
+import calicostream.wire.LateStand;
 import calicostream.wire.Program;
 import calicostream.wire.RespStand;
 import java.io.IOException;
@@ -25,10 +25,12 @@
 
 /** What becomes of the module's questions how an engine fares, against an engine that answers as a test says. */
 class ProbesTest {
+    private static final long IDLE_US = 10_000_000;
     private static final String SETTINGS = "lanes.count=1\nlanes.0.name=look\nlanes.0.effect=repeatable\n"
             + "lanes.0.aim_us=800000\nlanes.0.deadline_us=4000000\nfamily_info.kind_cores=12\nceilings.may_probe=true\n"
-            + "ceilings.dial_timeout_us=250000\nstats.how=on_probe\nstats.columns=inflight,queue,x0\n";
+            + "ceilings.dial_timeout_us=60000000\nceilings.conn_idle_us=" + IDLE_US + "\nstats.how=on_probe\nstats.columns=inflight,queue,x0\n";
     private static final long ID = 1;
+    private final FrontRig.SetClock clock = new FrontRig.SetClock();
     private final SettingsParser settings = SettingsParser.ofLines(SETTINGS);
     private RespStand stand;
     private Loop loop;
@@ -39,9 +41,9 @@
     @BeforeEach
     void start() throws Exception {
         stand = new RespStand();
-        loop = new Loop(new Clock(), new Deadlines());
+        loop = new Loop(clock, new Deadlines());
         side = new RespEngines(loop, settings.classNames(), settings.wiring(), 16);
-        gateway = new Gateway(new Clock(), loop.deadlines(), settings.settings(), Watcher.NONE);
+        gateway = new Gateway(clock, loop.deadlines(), settings.settings(), Watcher.NONE);
         thread = new LoopThread(loop);
         on(() -> {
             side.locate(ID, stand.address());
@@ -107,6 +109,55 @@
         }
     }
 
+    /** The engine's close of a resting connection lies unread when it is asked: the question goes by another one. */
+    @Test
+    void aQuestionDoesNotGoByAConnectionThatItsEngineHasClosed() throws Exception {
+        assertEquals("STAT|probe1", probe());
+        stand.answer("probe1|FIT|stats=inflight:3|");
+        on(() -> {
+            stand.leave();
+            gateway.probe(ID);
+            return null;
+        });
+        assertEquals("STAT|probe2", stand.command());
+    }
+
+    /** The connection has rested for nearly as long as it may when the engine is asked by it. */
+    @Test
+    void aConnectionIsNotClosedAsIdleUnderAQuestion() throws Exception {
+        assertEquals("STAT|probe1", probe());
+        stand.answer("probe1|FIT|stats=inflight:3|");
+        on(() -> {
+            clock.advance(IDLE_US * 6 / 10);
+            gateway.probe(ID);
+            return null;
+        });
+        assertEquals("STAT|probe2", stand.command());
+        on(() -> {
+            clock.advance(IDLE_US * 2 / 10);
+            return null;
+        });
+        thread.awaitDue();
+        stand.answer("probe2|FIT|stats=inflight:3|");
+        assertEquals("STAT|probe3", probe());
+        assertEquals(1, stand.connections());
+    }
+
+    /** The list gives an engine another address while a question waits for its connection to the old one: our own close is no failure of it. */
+    @Test
+    void anEngineThatMovesUnderAQuestionIsNotLeftOut() throws Exception {
+        try (LateStand late = new LateStand()) {
+            on(() -> {
+                side.locate(ID, late.address());
+                gateway.probe(ID);
+                side.locate(ID, stand.address());
+                return null;
+            });
+            assertEquals(0, on(gateway::avoided), "it was benched for what we did");
+            assertEquals("STAT|probe2", probe());
+        }
+    }
+
     @Test
     void anEngineThatDrainsIsNotAsked() throws Exception {
         on(() -> {
--- a/src/test/java/calicostream/wire/RespStand.java
+++ b/src/test/java/calicostream/wire/RespStand.java
@@ -141,6 +141,11 @@
         }
     }
 
+    /** How many connections have come in all. */
+    public int connections() {
+        return peers.size();
+    }
+
     /** Whether the other side ends the connection of the last command. */
     public boolean ended() throws IOException {
         try {
