A request read in the last moment of a process that ends is refused unsent

Cause: JsonRpcFront.request gave a request that lay unread at the last moment one microsecond, and Gateway.send let it out within that: it reached an engine, was called off, and a load then failed, as it may have run. Ruled out: Gateway.giveUpAll, which ends what is known by then in the right order. Measured: CrossingsTest.aRequestReadInTheLastMomentIsRefusedUnsent fails without (the load was the first thing sent).

--- a/src/main/java/calicostream/platform/JsonRpcFront.java
+++ b/src/main/java/calicostream/platform/JsonRpcFront.java
@@ -416,7 +416,8 @@
                 write(JsonRpc.error(Long.toString(id), JsonRpc.INVALID_PARAMS, "the params can't be used"));
                 return;
             }
-            if (open.size() >= MOST_OPEN) {
+            long untilLast = lastMoment - loop.clock().now();
+            if (open.size() >= MOST_OPEN || untilLast < ON_THE_WAY) { // No engine would answer before this process ends.
                 openIds.remove(message.requestId);
                 gateway.turnedAway(classNames.indexOf(message.method));
                 write(JsonRpc.refused(id, 100));
@@ -425,7 +426,7 @@
             Pending p = new Pending(this, id, message.requestId);
             long tag = pending.add(p);
             open.put(id, tag);
-            long left = Math.min(timeLeft(message), Math.max(1, lastMoment - loop.clock().now()));
+            long left = Math.min(timeLeft(message), untilLast);
             int group = Math.max(0, Statement.tableGroup(body));
             QueryRouter.Query asked = new QueryRouter.Query(0, classNames.indexOf(message.method), 0, message.key(), left,
                     message.work * 1000, message.memory, group, message.retry == 1);
--- a/src/test/java/calicostream/platform/CrossingsTest.java
+++ b/src/test/java/calicostream/platform/CrossingsTest.java
@@ -219,10 +219,8 @@
         }
     }
 
-    /** Whatever the loop had to write has been written after one more turn. */
     private void assertNothingArrived(Socket at) throws Exception {
-        rig.on(() -> null);
-        rig.on(() -> null);
+        rig.awaitDue();
         assertEquals(0, at.getInputStream().available(), "bytes of a request");
     }
 
@@ -470,6 +468,25 @@
         assertNull(client.line());
     }
 
+    /** A load lies unread in the last moment before the process ends: nobody could answer it any more, so it must not run. */
+    @Test
+    void aRequestReadInTheLastMomentIsRefusedUnsent() throws Exception {
+        Client client = rig.client();
+        warm(client);
+        Asker asker = new Asker();
+        rig.on(() -> {
+            client.sendUnread(request("load", 901));
+            rig.retire(1);
+            return null;
+        });
+        assertTrue(client.line().contains("\"id\":901,\"error\":{\"code\":-32000,"));
+        rig.on(() -> {
+            rig.ask(asker, LOOK, 1);
+            return null;
+        });
+        assertTrue(stand.command().startsWith("REQ|" + id(1)), "the first that goes out");
+    }
+
     /** A request read once its connection is being ended can't be answered: it must not run. */
     @Test
     void aRequestBehindTheLastWordIsNotSent() throws Exception {
--- a/src/test/java/calicostream/platform/FrontRig.java
+++ b/src/test/java/calicostream/platform/FrontRig.java
@@ -99,6 +99,12 @@
         return thread.on(work);
     }
 
+    /** Waits until all that is due has been done, and what it wrote has gone out. */
+    void awaitDue() throws Exception {
+        thread.awaitDue();
+        on(() -> null); // In the turn after that.
+    }
+
     /** From the loop's thread: an engine in this state. */
     void list(long id, int kind, InetSocketAddress address, EngineState state) {
         side.locate(id, address);
@@ -138,8 +144,13 @@
 
     /** From the loop's thread: no new clients, and who rests is let go in this turn. */
     void retire() throws IOException {
+        retire(3_000_000);
+    }
+
+    /** The same where the process ends so soon. */
+    void retire(long lastIn) throws IOException {
         retired = true;
-        front.retire(clock.now(), clock.now() + 3_000_000);
+        front.retire(clock.now(), clock.now() + lastIn);
     }
 
     @Override
