Loop: channels are served in the order in which the system heard of them

Loop.run served ready channels in the order of the selector's set, which is that of a hash: of requests of one key that lay unread on several connections any could be read, and so run, first. Ruled out: the module's and KeyLines' lines, which keep the order in which requests are read. Change: the selector hands ready channels over one by one (Selector.select with an action), and a linked set keeps that order, in which the system has those first that have waited longest. The lambda of LoopTest has one parameter more, its checks are the same.

--- a/src/main/java/calicostream/net/Loop.java
+++ b/src/main/java/calicostream/net/Loop.java
@@ -10,8 +10,11 @@
 import java.nio.channels.Selector;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -42,7 +45,7 @@
 
     /** How a selector is waited on: for at most so many milliseconds, or 0 for as long as it takes, or not at all where negative. */
     interface Wait {
-        void on(Selector selector, long ms) throws IOException;
+        void on(Selector selector, Consumer<SelectionKey> ready, long ms) throws IOException;
     }
 
     private final Clock clock;
@@ -53,6 +56,7 @@
     private final Ring.Held held = new Ring.Held();
     private final ByteBuffer through = ByteBuffer.allocateDirect(THROUGH);
     private final ConcurrentLinkedQueue<Runnable> posted = new ConcurrentLinkedQueue<>();
+    private final Set<SelectionKey> ready = new LinkedHashSet<>(); // in the system's order: who has waited longest first
     private final ArrayDeque<Runnable> soon = new ArrayDeque<>();
     private List<Runnable> nextTurn = new ArrayList<>();
     private boolean stopped;
@@ -60,11 +64,11 @@
     private long lookedAt; // ns: when urgent channels were last looked for
 
     public Loop(Clock clock, Deadlines deadlines) throws IOException {
-        this(clock, deadlines, (on, ms) -> {
+        this(clock, deadlines, (on, ready, ms) -> {
             if (ms < 0) {
-                on.selectNow();
+                on.selectNow(ready);
             } else {
-                on.select(ms);
+                on.select(ready, ms);
             }
         });
     }
@@ -133,7 +137,7 @@
     /** A selector may fail by itself; the channels have no part in that and go on with another one. */
     private void select(long ms) throws IOException {
         try {
-            waiting.on(selector, ms);
+            waiting.on(selector, ready::add, ms);
             failures = 0;
         } catch (IOException e) {
             if (++failures > MOST_FAILURES) {
@@ -158,14 +162,14 @@
     public void run() throws IOException {
         while (!stopped) {
             long wait = deadlines.next() - clock.now();
-            if (!posted.isEmpty() || !nextTurn.isEmpty() || wait <= 0 || !selector.selectedKeys().isEmpty()) {
+            if (!posted.isEmpty() || !nextTurn.isEmpty() || wait <= 0 || !ready.isEmpty()) {
                 select(NOT_AT_ALL);
             } else {
                 select(wait == Deadlines.NEVER ? 0 : Math.max(1, Math.min(wait / 1000, 1000)));
             }
             serveUrgent();
-            List<SelectionKey> keys = List.copyOf(selector.selectedKeys());
-            selector.selectedKeys().clear();
+            List<SelectionKey> keys = List.copyOf(ready);
+            ready.clear();
             for (SelectionKey key : keys) {
                 if (key.isValid()) {
                     ready((Ready) key.attachment());
@@ -190,13 +194,12 @@
     }
 
     private void serveUrgent() {
-        selector.selectedKeys().removeIf(key -> {
-            boolean urgent = key.isValid() && ((Ready) key.attachment()).isUrgent();
-            if (urgent) {
+        for (SelectionKey key : List.copyOf(ready)) {
+            if (key.isValid() && ((Ready) key.attachment()).isUrgent()) {
+                ready.remove(key);
                 ready((Ready) key.attachment());
             }
-            return urgent;
-        });
+        }
         lookedAt = System.nanoTime();
     }
 
--- a/src/test/java/calicostream/net/LoopTest.java
+++ b/src/test/java/calicostream/net/LoopTest.java
@@ -26,11 +26,11 @@
     @Test
     void aSelectorThatFailsIsReplacedUnderItsChannels() throws Exception {
         AtomicInteger failing = new AtomicInteger();
-        Loop loop = new Loop(new Clock(), new Deadlines(), (selector, ms) -> {
+        Loop loop = new Loop(new Clock(), new Deadlines(), (selector, ready, ms) -> {
             if (failing.getAndUpdate(n -> Math.max(0, n - 1)) > 0) {
                 throw new IOException("Bad file descriptor");
             }
-            selector.select(ms < 0 ? 1 : ms);
+            selector.select(ready, ms < 0 ? 1 : ms);
         });
         Listener listener = new Listener(loop, new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 8, echo(loop));
         CompletableFuture<Void> ended = CompletableFuture.runAsync(() -> {
--- a/src/test/java/calicostream/platform/CrossingsTest.java
+++ b/src/test/java/calicostream/platform/CrossingsTest.java
@@ -21,6 +21,10 @@
 import calicostream.wire.SocketTable;
 import java.net.ConnectException;
 import java.net.Socket;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -325,6 +329,32 @@
         }
     }
 
+    /** Requests of one key come in one turn, each on a connection of its own: they run in the order in which they came. */
+    @Test
+    void requestsOfOneKeyRunInTheOrderInWhichTheyCame() throws Exception {
+        long seed = System.nanoTime();
+        List<Client> askers = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            Client asker = rig.client();
+            asker.send("{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"check\"}\n");
+            assertTrue(asker.line().contains("true"), "it has been taken");
+            askers.add(asker);
+        }
+        warm(askers.get(0));
+        rig.on(() -> null); // The system has been asked since, and holds none of them for ready any more.
+        Collections.shuffle(askers, new Random(seed));
+        rig.on(() -> {
+            for (int i = 0; i < askers.size(); i++) {
+                askers.get(i).sendUnread(request("in-turn", 901 + i).replace("\"d\"", "\"o\":\"7f3a9c21e0b4d655\",\"d\""));
+            }
+            return null;
+        });
+        for (int i = 901; i < 901 + askers.size(); i++) {
+            assertTrue(stand.command().startsWith("REQ|" + id(i)), "number " + i + ", seed " + seed);
+            stand.answer(id(i) + "|DONE|sheets=1|row\n");
+        }
+    }
+
     // ---- Pieces ------------------------------------------------------------------------------------------
     /** Each byte is read by itself, on both sides. */
     @Test
--- a/src/test/java/calicostream/platform/FrontRig.java
+++ b/src/test/java/calicostream/platform/FrontRig.java
@@ -39,11 +39,13 @@
     static final int LOOK = 0;
     static final int LOAD = 1;
     static final int KEYED = 2;
+    static final int IN_TURN = 3;
     static final long WINDOW_MS = 300;
-    private static final String SETTINGS = "lanes.count=3\nfamily_info.kind_cores=12,1\nceilings.dial_timeout_us=60000000\n"
+    private static final String SETTINGS = "lanes.count=4\nfamily_info.kind_cores=12,1\nceilings.dial_timeout_us=60000000\n"
             + "ceilings.max_attempts=5\nceilings.cancel=true\n"
             + "rules.cold_share=0.3\nrules.warm_up_us=14000000\nrules.fall_us=2000000\nrules.overload_factor=4\n"
             + lane(LOOK, "look", "repeatable") + lane(LOAD, "load", "once") + lane(KEYED, "keyed", "by_key")
+            + lane(IN_TURN, "in-turn", "once") + "lanes.3.one_at_a_time=true\n"
             + "lanes.2.key_scope=all\nlanes.2.window_us=" + WINDOW_MS * 1000 + "\n";
     final SettingsParser settings = SettingsParser.ofLines(SETTINGS);
     final SetClock clock = new SetClock();
