Keys of a process that has ended rest before another one takes them over

A front end that serves out ends as soon as nothing is open, so a key that ought to rest for the settings' time after a time-out, reset or cancel went to the younger process within 5 ms (KeyLines.LOOK); after a kill the same. Ruled out: the start of a process alone, for which the module rests all keys (Logic.start). Change: KeyLines asks how many other processes live (Turns.others, by the locks of the hand-over's file) whenever a key may be taken, and takes over none for that time once one has gone. Keys that it has in hand go on.

--- a/src/main/java/calicostream/core/KeyLines.java
+++ b/src/main/java/calicostream/core/KeyLines.java
@@ -28,6 +28,8 @@
     private final Deadlines.Target look = this::look;
     private final Deadlines.Target rested = this::rested;
     private Turns turns = Turns.ALONE;
+    private int others;
+    private long lostAt = Long.MIN_VALUE / 2;
 
     KeyLines(Clock clock, Deadlines deadlines, long restUs, Consumer<R> through) {
         this.clock = clock;
@@ -50,7 +52,7 @@
     }
 
     private void advance(long now, long key, Line<R> line) {
-        while (!line.waiting.isEmpty() && turns.take(key)) {
+        while (!line.waiting.isEmpty() && mayTake(now, key, line)) {
             line.here++;
             through.accept(line.waiting.poll());
         }
@@ -60,6 +62,19 @@
         }
     }
 
+    private boolean mayTake(long now, long key, Line<R> line) {
+        look(now);
+        boolean heldHere = line.here > 0 || line.resting;
+        return (heldHere || now - lostAt >= restUs) && turns.take(key);
+    }
+
+    /** A process that ends gives its keys back at once, also one that ought to rest: none is taken over until it has. */
+    void look(long now) {
+        int living = turns.others();
+        lostAt = living < others ? now : lostAt;
+        others = living;
+    }
+
     private void look(long now, long key) {
         Line<R> line = lines.get(key);
         if (line != null) {
--- a/src/main/java/calicostream/core/Turns.java
+++ b/src/main/java/calicostream/core/Turns.java
@@ -15,6 +15,11 @@
 
         @Override
         public void release(long key) { }
+
+        @Override
+        public int others() {
+            return 0;
+        }
     };
 
     /**
@@ -25,4 +30,7 @@
 
     /** Nothing of the key is left here, neither running nor resting. */
     void release(long key);
+
+    /** How many other processes of this front end live now. The keys of one that has ended are free at once. */
+    int others();
 }
--- a/src/main/java/calicostream/handover/KeyLocks.java
+++ b/src/main/java/calicostream/handover/KeyLocks.java
@@ -58,6 +58,16 @@
         }
     }
 
+    @Override
+    public int others() {
+        try {
+            return file.living();
+        } catch (IOException e) {
+            LOG.debug("keys: {}", e.toString());
+            return 0;
+        }
+    }
+
     @Override
     public void release(long key) {
         Locks locks = held.remove(at(key));
--- a/src/main/java/calicostream/handover/SlotFile.java
+++ b/src/main/java/calicostream/handover/SlotFile.java
@@ -95,6 +95,16 @@
         return living;
     }
 
+    /** How many other processes live. */
+    int living() throws IOException {
+        readHeads();
+        int living = 0;
+        for (int slot = 0; slot < SLOTS; slot++) {
+            living += slot != own && head(slot) != Head.NONE && isHeld(slot) ? 1 : 0;
+        }
+        return living;
+    }
+
     /** The lock is all that tells a living process; what a dead one left is cleared away, so that it costs this once. */
     private boolean isHeld(int slot) throws IOException {
         FileLock lock = lock(slot);
