--- a/src/main/java/calicostream/core/Gateway.java
+++ b/src/main/java/calicostream/core/Gateway.java
@@ -355,7 +355,7 @@
 
     /** So many processes serve this front end's clients together; this one is number {@code place}, from 0. */
     public void sharedBy(int processes, int place) {
-        keyLines.look(clock.now());
+        keyLines.countOthers(clock.now());
         tell(r -> r.sharedBy(clock.now(), processes, place));
     }
 
--- a/src/main/java/calicostream/core/KeyLines.java
+++ b/src/main/java/calicostream/core/KeyLines.java
@@ -63,13 +63,13 @@
     }
 
     private boolean mayTake(long now, long key, Line<R> line) {
-        look(now);
+        countOthers(now);
         boolean heldHere = line.here > 0 || line.resting;
         return (heldHere || now - lostAt >= restUs) && turns.take(key);
     }
 
     /** A process that ends gives its keys back at once, also one that ought to rest: none is taken over until it has. */
-    void look(long now) {
+    void countOthers(long now) {
         int living = turns.others();
         lostAt = living < others ? now : lostAt;
         others = living;
