--- a/src/test/java/calicostream/wire/RunTermsTest.java
+++ b/src/test/java/calicostream/wire/RunTermsTest.java
@@ -46,6 +46,16 @@
         return builder.start();
     }
 
+    /** Where it listens, by its log, which is read up to there. */
+    private static int port(BufferedReader log) throws IOException {
+        String line = log.readLine();
+        while (line != null && !line.contains("listens on port")) {
+            line = log.readLine();
+        }
+        assertTrue(line != null, "it ended");
+        return Program.portIn(line);
+    }
+
     @Test
     void onceItServesItOpensSocketsAndNothingElse() throws Exception {
         try (ChangeLogStand log = new ChangeLogStand(); RespStand engine = new RespStand()) {
@@ -53,11 +63,7 @@
                     List.of(Program.endpoint("e1", engine.address(), "Ready", 0)), 1024));
             try (BufferedReader lines = process.inputReader(StandardCharsets.UTF_8)) {
                 log.follow();
-                int port = 0;
-                for (String line = lines.readLine(); port == 0; line = lines.readLine()) {
-                    assertTrue(line != null, "it ended");
-                    port = line.contains("listens on port") ? Program.portIn(line) : 0;
-                }
+                int port = port(lines);
                 boolean tells = accessTimesTell();
                 Set<String> before = files(process.pid());
                 Files.setAttribute(folder, "lastAccessTime", FileTime.fromMillis(1000));
@@ -88,11 +94,7 @@
             Process hangUps = new ProcessBuilder("/bin/sh", "-c", "while kill -HUP " + process.pid() + "; do :; done").start();
             try (BufferedReader lines = process.inputReader(StandardCharsets.UTF_8)) {
                 log.follow();
-                int port = 0;
-                for (String line = lines.readLine(); port == 0; line = lines.readLine()) {
-                    assertTrue(line != null, "it ended");
-                    port = line.contains("listens on port") ? Program.portIn(line) : 0;
-                }
+                int port = port(lines);
                 Program.ask(port, engine, 1);
                 assertTrue(hangUps.isAlive(), "signals came all the time");
             } finally {
