--- a/review/1/Case1.java
+++ b/review/1/Case1.java
@@ -38,7 +38,7 @@
     /** Six to eight engines run today; one of six is 17%, up to 24% may die at once. */
     private static final int ENGINES = 6;
     /** What the client's source takes until it says that there are no rows. */
-    private static final long SOURCE_MS = 500;
+    private static final long SOURCE_MS = 1_000;
     /** How long the test looks for a second run. */
     private static final long WATCH_MS = 8_000;
 
