--- a/review/1/Case1.java
+++ b/review/1/Case1.java
@@ -220,11 +220,11 @@
                 held
                         ? "HELD: the load ran once"
                         : "BROKEN: the load ran " + runs.get() + " times");
-        return held ? 0 : 1;
+        return held ? Rig.HELD : Rig.BROKEN;
     }
 
     public static void main(String[] args) {
-        int code = 2;
+        int code = Rig.COULD_NOT_RUN;
         try (Rig rig = new Rig(Path.of(args[0]))) {
             try {
                 code = run(rig);
--- a/review/2/Case2.java
+++ b/review/2/Case2.java
@@ -106,11 +106,11 @@
                 held
                         ? "HELD: each request has its final answer"
                         : "BROKEN: a request has no final answer");
-        return held ? 0 : 1;
+        return held ? Rig.HELD : Rig.BROKEN;
     }
 
     public static void main(String[] args) {
-        int code = 2;
+        int code = Rig.COULD_NOT_RUN;
         try (Rig rig = new Rig(Path.of(args[0]))) {
             try {
                 code = run(rig);
--- a/review/lib/review/Rig.java
+++ b/review/lib/review/Rig.java
@@ -43,6 +43,12 @@
                     + "'fall_us':2000000,'overload_factor':4}}";
     private static final long START_MS = 30_000;
 
+    /** Exit codes of a test, which run.sh translates; none of them is one of Java's own. */
+    public static final int HELD = 10;
+
+    public static final int BROKEN = 11;
+    public static final int COULD_NOT_RUN = 12;
+
     private final long begun = System.nanoTime();
     private final PrintWriter record;
     private final Path folder;
