--- a/review/1/Case1.java
+++ b/review/1/Case1.java
@@ -1,136 +1,161 @@
 // SPDX-License-Identifier: Apache-2.0
 package review;
 
+import com.google.flatbuffers.Table;
+import com.google.protobuf.ByteString;
 import io.grpc.ManagedChannel;
-import io.grpc.Metadata;
 import io.grpc.Server;
-import io.grpc.ServerCall;
-import io.grpc.ServerCallHandler;
-import io.grpc.ServerInterceptor;
-import io.grpc.ServerInterceptors;
-import io.grpc.Context;
-import io.grpc.Contexts;
 import io.grpc.Status;
+import io.grpc.StatusRuntimeException;
 import io.grpc.netty.NettyServerBuilder;
 import io.grpc.stub.StreamObserver;
+import java.io.IOException;
+import java.lang.reflect.Field;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.ByteOrder;
 import java.nio.file.Path;
-import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.apache.arrow.flatbuf.Message;
+import org.apache.arrow.flatbuf.Schema;
 import org.apache.arrow.flight.impl.Flight;
 import org.apache.arrow.flight.impl.FlightServiceGrpc;
 import org.apache.arrow.flight.sql.impl.FlightSql;
+import org.apache.arrow.vector.ipc.message.IpcOption;
+import org.apache.arrow.vector.ipc.message.MessageSerializer;
+import org.apache.arrow.vector.types.pojo.ArrowType;
+import org.apache.arrow.vector.types.pojo.FieldType;
 
 /**
- * A load that replaces a table, and has no rows this time, runs at an engine that dies before it
- * can say so: does the load run again elsewhere?
+ * One client binds parameters whose schema cannot be read: does the front end go on, and do the
+ * other client's requests still get their answers?
  */
 public final class Case1 {
-    private static final Metadata.Key<String> REQUEST_ID =
-            Metadata.Key.of("x-request-id", Metadata.ASCII_STRING_MARSHALLER);
-    private static final Context.Key<String> ID = Context.key("request");
-    private static final String LOAD = "load-1";
-    /** Loads with rows before it, so that the front end has run this code. */
-    private static final int EARLIER = 3;
-    /** Six to eight engines run today; one of six is 17%, up to 24% may die at once. */
-    private static final int ENGINES = 6;
-    /** What the client's source takes until it says that there are no rows. */
-    private static final long SOURCE_MS = 1_000;
-    /** How long the test looks for a second run. */
-    private static final long WATCH_MS = 8_000;
+    private static final String SQL = "select c1 from sales_17.orders where c1 = ?";
+    /** What the engine takes for a query; the class lookup has 91 to 190 ms on average. */
+    private static final long WORK_MS = 150;
+    /** How long the sound client asks before the bad one comes, and after it. */
+    private static final long BEFORE_MS = 2_000;
+
+    private static final long AFTER_MS = 6_000;
 
     private Case1() {}
 
-    /** Runs a load when all of it has arrived, as every sound engine does. */
+    /** Answers each query with one row, and prepares what it is asked to. */
     private static final class Engine extends FlightServiceGrpc.FlightServiceImplBase {
-        private final Rig rig;
-        private final String name;
-        private final AtomicInteger runs;
-        volatile Link link;
-
-        Engine(Rig rig, String name, AtomicInteger runs) {
-            this.rig = rig;
-            this.name = name;
-            this.runs = runs;
+        @Override
+        public void doAction(Flight.Action request, StreamObserver<Flight.Result> out) {
+            if (request.getType().equals("CreatePreparedStatement")) {
+                try {
+                    ByteString header = Rows.encode(List.of()).get(0).getDataHeader();
+                    ByteBuffer prefix = ByteBuffer.allocate(8).order(ByteOrder.LITTLE_ENDIAN);
+                    prefix.putInt(-1).putInt(header.size()).flip();
+                    ByteString schema = ByteString.copyFrom(prefix).concat(header);
+                    out.onNext(
+                            Flight.Result.newBuilder()
+                                    .setBody(
+                                            Wire.pack(
+                                                    FlightSql.ActionCreatePreparedStatementResult
+                                                            .newBuilder()
+                                                            .setPreparedStatementHandle(
+                                                                    ByteString.copyFromUtf8(
+                                                                            "statement"))
+                                                            .setDatasetSchema(schema)
+                                                            .setParameterSchema(schema)
+                                                            .build()))
+                                    .build());
+                } catch (IOException e) {
+                    out.onError(Status.INTERNAL.asRuntimeException());
+                    return;
+                }
+            }
+            out.onCompleted();
         }
 
         @Override
-        public StreamObserver<Flight.FlightData> doPut(StreamObserver<Flight.PutResult> out) {
-            String id = ID.get();
-            return new StreamObserver<>() {
-                private int frames;
-                private FlightSql.CommandStatementIngest load;
-
-                @Override
-                public void onNext(Flight.FlightData data) {
-                    if (frames++ == 0) {
-                        load =
-                                Wire.unpack(
-                                        data.getFlightDescriptor().getCmd(),
-                                        FlightSql.CommandStatementIngest.class);
-                    }
-                }
+        public void getFlightInfo(
+                Flight.FlightDescriptor request, StreamObserver<Flight.FlightInfo> out) {
+            out.onNext(
+                    Flight.FlightInfo.newBuilder()
+                            .setFlightDescriptor(request)
+                            .addEndpoint(
+                                    Flight.FlightEndpoint.newBuilder()
+                                            .setTicket(
+                                                    Flight.Ticket.newBuilder()
+                                                            .setTicket(request.getCmd())))
+                            .build());
+            out.onCompleted();
+        }
 
-                @Override
-                public void onError(Throwable error) {
-                    rig.record(name + ": the load " + id + " broke off before it was whole");
-                }
+        @Override
+        public void getSchema(
+                Flight.FlightDescriptor request, StreamObserver<Flight.SchemaResult> out) {
+            out.onError(Status.UNIMPLEMENTED.asRuntimeException());
+        }
 
-                @Override
-                public void onCompleted() {
-                    int run = id.equals(LOAD) ? runs.incrementAndGet() : 0;
-                    rig.record(
-                            name + ": RUNS the load " + id + ", table " + load.getSchema() + "."
-                                    + load.getTable() + " is replaced, " + (frames - 1) + " batches");
-                    if (Rig.trouble() && run == 1) {
-                        try {
-                            rig.record(name + ": dies before it has answered");
-                            link.die();
-                        } catch (Exception e) {
-                            rig.record(name + ": " + e);
-                        }
-                        return;
-                    }
-                    out.onNext(
-                            Flight.PutResult.newBuilder()
-                                    .setAppMetadata(
-                                            FlightSql.DoPutUpdateResult.newBuilder()
-                                                    .setRecordCount(0)
-                                                    .build()
-                                                    .toByteString())
-                                    .build());
-                    out.onCompleted();
-                }
-            };
+        @Override
+        public void doGet(Flight.Ticket request, StreamObserver<Flight.FlightData> out) {
+            try {
+                Thread.sleep(WORK_MS);
+                Rows.encode(List.of(List.of("a"))).forEach(out::onNext);
+                out.onCompleted();
+            } catch (IOException | InterruptedException e) {
+                out.onError(Status.INTERNAL.asRuntimeException());
+            }
         }
     }
 
-    /** The id that the front end gives the request, the same on each attempt. */
-    private static ServerInterceptor ids() {
-        return new ServerInterceptor() {
-            @Override
-            public <Q, R> ServerCall.Listener<Q> interceptCall(
-                    ServerCall<Q, R> call, Metadata headers, ServerCallHandler<Q, R> next) {
-                return Contexts.interceptCall(
-                        Context.current().withValue(ID, String.valueOf(headers.get(REQUEST_ID))),
-                        call,
-                        headers,
-                        next);
+    /**
+     * A schema of one list column that cannot be read: the offset of the list's only child is
+     * negative and leads back to the list itself.
+     */
+    private static ByteString unreadable() throws ReflectiveOperationException {
+        org.apache.arrow.vector.types.pojo.Field item =
+                new org.apache.arrow.vector.types.pojo.Field(
+                        "item", FieldType.nullable(ArrowType.Utf8.INSTANCE), null);
+        org.apache.arrow.vector.types.pojo.Field list =
+                new org.apache.arrow.vector.types.pojo.Field(
+                        "c1", FieldType.nullable(ArrowType.List.INSTANCE), List.of(item));
+        ByteBuffer sound =
+                MessageSerializer.serializeMetadata(
+                        new org.apache.arrow.vector.types.pojo.Schema(List.of(list)),
+                        IpcOption.DEFAULT);
+        byte[] bytes = new byte[sound.remaining()];
+        sound.get(bytes);
+        ByteBuffer header = ByteBuffer.wrap(bytes).order(ByteOrder.LITTLE_ENDIAN);
+        Schema schema = (Schema) Message.getRootAsMessage(header).header(new Schema());
+        int parent = position(schema.fields(0));
+        int child = position(schema.fields(0).children(0));
+        for (int at = 0; at + 4 <= bytes.length; at += 4) {
+            if (at != child && at + header.getInt(at) == child) {
+                header.putInt(at, parent - at);
             }
-        };
+        }
+        if (position(schema.fields(0).children(0)) != parent) {
+            throw new IllegalStateException("the child's offset was not found");
+        }
+        return ByteString.copyFrom(bytes);
+    }
+
+    private static int position(Table table) throws ReflectiveOperationException {
+        Field position = Table.class.getDeclaredField("bb_pos");
+        position.setAccessible(true);
+        return position.getInt(table);
     }
 
-    /** Sends a load; its end as text. */
-    private static CompletableFuture<String> load(
-            Rig rig, ManagedChannel client, String id, List<List<String>> batches) throws Exception {
-        CompletableFuture<String> answer = new CompletableFuture<>();
+    /** Binds one row to the statement, under this schema; the call's end as text. */
+    private static String bind(ManagedChannel client, ByteString handle, ByteString schema)
+            throws Exception {
+        CompletableFuture<String> end = new CompletableFuture<>();
         StreamObserver<Flight.FlightData> put =
                 FlightServiceGrpc.newStub(client)
-                        .withInterceptors(Wire.headers(Wire.CLASS, "stat-load", REQUEST_ID, id))
-                        .withDeadlineAfter(20, TimeUnit.SECONDS)
+                        .withDeadlineAfter(3, TimeUnit.SECONDS)
                         .doPut(
                                 new StreamObserver<>() {
                                     @Override
@@ -138,88 +163,130 @@
 
                                     @Override
                                     public void onError(Throwable error) {
-                                        answer.complete(Status.fromThrowable(error).toString());
+                                        end.complete("status " + Status.fromThrowable(error));
                                     }
 
                                     @Override
                                     public void onCompleted() {
-                                        answer.complete("served");
+                                        end.complete("served");
                                     }
                                 });
-        FlightSql.CommandStatementIngest command =
-                FlightSql.CommandStatementIngest.newBuilder()
-                        .setSchema("sales_17")
-                        .setTable("totals")
-                        .setTableDefinitionOptions(
-                                FlightSql.CommandStatementIngest.TableDefinitionOptions.newBuilder()
-                                        .setIfNotExist(
-                                                FlightSql.CommandStatementIngest
-                                                        .TableDefinitionOptions
-                                                        .TableNotExistOption
-                                                        .TABLE_NOT_EXIST_OPTION_CREATE)
-                                        .setIfExists(
-                                                FlightSql.CommandStatementIngest
-                                                        .TableDefinitionOptions.TableExistsOption
-                                                        .TABLE_EXISTS_OPTION_REPLACE))
-                        .build();
-        rig.record("client: one load, class stat-load, replaces sales_17.totals, id " + id);
-        List<Flight.FlightData> frames = Rows.encode(batches);
+        List<Flight.FlightData> sound = Rows.encode(List.of(List.of("a")));
         put.onNext(
-                frames.get(0).toBuilder().setFlightDescriptor(Wire.descriptor(command)).build());
-        Thread.sleep(SOURCE_MS);
-        frames.subList(1, frames.size()).forEach(put::onNext);
+                sound.get(0).toBuilder()
+                        .setDataHeader(schema == null ? sound.get(0).getDataHeader() : schema)
+                        .setFlightDescriptor(
+                                Wire.descriptor(
+                                        FlightSql.CommandPreparedStatementQuery.newBuilder()
+                                                .setPreparedStatementHandle(handle)
+                                                .build()))
+                        .build());
+        put.onNext(sound.get(1));
         put.onCompleted();
-        rig.record("client: that was all of " + id + ", " + (frames.size() - 1) + " batches");
-        return answer;
+        try {
+            return end.get(6, TimeUnit.SECONDS);
+        } catch (TimeoutException e) {
+            return "no end";
+        }
     }
 
-    private static int run(Rig rig) throws Exception {
-        AtomicInteger runs = new AtomicInteger();
-        List<Server> servers = new ArrayList<>();
-        List<Link> links = new ArrayList<>();
-        List<String> listed = new ArrayList<>();
-        for (int i = 1; i <= ENGINES; i++) {
-            String name = "s-0000000" + i;
-            Engine engine = new Engine(rig, name, runs);
-            Server server =
-                    NettyServerBuilder.forAddress(new InetSocketAddress("127.0.0.1", 0))
-                            .addService(ServerInterceptors.intercept(engine, ids()))
-                            .build()
-                            .start();
-            engine.link = new Link(server.getPort());
-            servers.add(server);
-            links.add(engine.link);
-            listed.add(ChangeLog.engine(name, engine.link.port(), "Ready", 0));
-        }
-        rig.changeLog().tell(listed.toArray(new String[0]));
-        Rig.FrontEnd front = rig.startFrontEnd("n1");
-        ManagedChannel client = Wire.connect(front.flightPort());
-        for (int i = 0; i < EARLIER; i++) {
-            load(rig, client, "earlier-" + i, List.of(List.of("a", "b"))).get(20, TimeUnit.SECONDS);
-        }
-        CompletableFuture<String> answer = load(rig, client, LOAD, List.of());
-        long until = rig.millis() + WATCH_MS;
-        boolean told = false;
-        while (rig.millis() < until) {
-            if (answer.isDone() && !told) {
-                told = true;
-                rig.record("client: the load ended with " + answer.join());
+    private static ByteString prepare(ManagedChannel client) {
+        Flight.Result made =
+                FlightServiceGrpc.newBlockingStub(client)
+                        .withDeadlineAfter(10, TimeUnit.SECONDS)
+                        .doAction(
+                                Wire.action(
+                                        "CreatePreparedStatement",
+                                        FlightSql.ActionCreatePreparedStatementRequest.newBuilder()
+                                                .setQuery(SQL)
+                                                .build()))
+                        .next();
+        return Wire.unpack(made.getBody(), FlightSql.ActionCreatePreparedStatementResult.class)
+                .getPreparedStatementHandle();
+    }
+
+    /** One query of the sound client; whether it has been answered with its row. */
+    private static boolean ask(Rig rig, ManagedChannel client, int number) {
+        try {
+            FlightServiceGrpc.FlightServiceBlockingStub stub =
+                    FlightServiceGrpc.newBlockingStub(client)
+                            .withDeadlineAfter(4_500, TimeUnit.MILLISECONDS);
+            Flight.FlightInfo info = stub.getFlightInfo(Wire.query("select " + number));
+            Iterator<Flight.FlightData> frames = stub.doGet(info.getEndpoint(0).getTicket());
+            int count = 0;
+            for (; frames.hasNext(); frames.next()) {
+                count++;
             }
-            Thread.sleep(20);
+            return count == 2;
+        } catch (StatusRuntimeException e) {
+            rig.record("sound client: request " + number + " ends with " + e.getStatus().getCode()
+                    + ", " + e.getStatus().getDescription());
+            return false;
         }
-        if (runs.get() == 0) {
-            throw new IllegalStateException("the load never came to an engine");
+    }
+
+    private static int run(Rig rig) throws Exception {
+        Server engine =
+                NettyServerBuilder.forAddress(new InetSocketAddress("127.0.0.1", 0))
+                        .addService(new Engine())
+                        .build()
+                        .start();
+        rig.changeLog().tell(ChangeLog.engine("s-00000001", engine.getPort(), "Ready", 0));
+        Rig.FrontEnd front = rig.startFrontEnd("n1");
+        ManagedChannel sound = Wire.connect(front.flightPort());
+        ManagedChannel bad = Wire.connect(front.flightPort());
+        AtomicBoolean stop = new AtomicBoolean();
+        AtomicInteger asked = new AtomicInteger();
+        AtomicInteger served = new AtomicInteger();
+        Thread client =
+                new Thread(
+                        () -> {
+                            while (!stop.get()) {
+                                if (ask(rig, sound, asked.incrementAndGet())) {
+                                    served.incrementAndGet();
+                                } else {
+                                    return;
+                                }
+                            }
+                        });
+        client.setDaemon(true);
+        client.start();
+        // A sound statement and a sound row before, so that the front end has run this code.
+        ByteString handle = prepare(bad);
+        rig.record("second client: binds a row, " + bind(bad, handle, null));
+        Thread.sleep(BEFORE_MS);
+        if (served.get() == 0) {
+            throw new IllegalStateException("the sound client was not served");
         }
-        client.shutdownNow();
-        for (Link link : links) {
-            link.close();
+        rig.record("sound client: " + served.get() + " requests served so far");
+        ByteString schema = Rig.trouble() ? unreadable() : null;
+        rig.record(
+                "second client: binds a row"
+                        + (schema == null
+                                ? ""
+                                : " under a schema of "
+                                        + schema.size()
+                                        + " bytes that cannot be read"));
+        rig.record("second client: " + bind(bad, handle, schema));
+        Thread.sleep(AFTER_MS);
+        boolean alive = front.process().isAlive();
+        stop.set(true);
+        client.join(5_000);
+        rig.record("sound client: " + served.get() + " of " + asked.get() + " requests served");
+        if (!alive) {
+            rig.record("front end: its process has ended, code " + front.process().exitValue());
+            rig.recordLog("n1", "Exception in thread");
         }
-        servers.forEach(Server::shutdownNow);
-        boolean held = runs.get() == 1;
+        sound.shutdownNow();
+        bad.shutdownNow();
+        engine.shutdownNow();
+        boolean held = alive && served.get() == asked.get();
         rig.record(
                 held
-                        ? "HELD: the load ran once"
-                        : "BROKEN: the load ran " + runs.get() + " times");
+                        ? "HELD: the front end goes on, and each request has its answer"
+                        : alive
+                                ? "BROKEN: a request of the sound client has no answer"
+                                : "BROKEN: the front end has crashed");
         return held ? Rig.HELD : Rig.BROKEN;
     }
 
--- a/review/2/Case2.java
+++ b/review/2/Case2.java
@@ -2,226 +2,224 @@
 package review;
 
 import io.grpc.ManagedChannel;
+import io.grpc.Metadata;
 import io.grpc.Server;
+import io.grpc.ServerCall;
+import io.grpc.ServerCallHandler;
+import io.grpc.ServerInterceptor;
+import io.grpc.ServerInterceptors;
+import io.grpc.Context;
+import io.grpc.Contexts;
 import io.grpc.Status;
-import io.grpc.StatusRuntimeException;
 import io.grpc.netty.NettyServerBuilder;
 import io.grpc.stub.StreamObserver;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.Iterator;
 import java.util.List;
-import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.arrow.flight.impl.Flight;
 import org.apache.arrow.flight.impl.FlightServiceGrpc;
 import org.apache.arrow.flight.sql.impl.FlightSql;
 
 /**
- * A prepared query's result comes in two parts, and the engine no longer knows the first one when
- * it is fetched: is the client's result whole, if it is told that it was served?
+ * A load that replaces a table, and has no rows this time, runs at an engine that dies before it
+ * can say so: does the load run again elsewhere?
  */
 public final class Case2 {
-    private static final String SQL = "select c1 from sales_17.orders";
-    /** The rows of the result, part by part. */
-    private static final List<List<String>> PARTS = List.of(List.of("a", "b"), List.of("c", "d"));
-
-    private static final int EXECUTIONS = 4;
-    private static final int TROUBLED = 3;
+    private static final Metadata.Key<String> REQUEST_ID =
+            Metadata.Key.of("x-request-id", Metadata.ASCII_STRING_MARSHALLER);
+    private static final Context.Key<String> ID = Context.key("request");
+    private static final String LOAD = "load-1";
+    /** Loads with rows before it, so that the front end has run this code. */
+    private static final int EARLIER = 3;
+    /** Six to eight engines run today; one of six is 17%, up to 24% may die at once. */
+    private static final int ENGINES = 6;
+    /** What the client's source takes until it says that there are no rows. */
+    private static final long SOURCE_MS = 1_000;
+    /** How long the test looks for a second run. */
+    private static final long WATCH_MS = 8_000;
 
     private Case2() {}
 
-    /**
-     * Keeps the parts of each result that it has planned until they are fetched. Of one result it
-     * drops the first part before that.
-     */
+    /** Runs a load when all of it has arrived, as every sound engine does. */
     private static final class Engine extends FlightServiceGrpc.FlightServiceImplBase {
         private final Rig rig;
-        private final Map<String, List<String>> parts = new HashMap<>();
-        private int handles;
-        private int results;
-        private boolean drop;
-        private boolean dropped;
+        private final String name;
+        private final AtomicInteger runs;
+        volatile Link link;
 
-        Engine(Rig rig) {
+        Engine(Rig rig, String name, AtomicInteger runs) {
             this.rig = rig;
+            this.name = name;
+            this.runs = runs;
         }
 
-        /** Of the next result that is planned, the first part is dropped. */
-        synchronized void dropNext() {
-            drop = true;
-        }
+        @Override
+        public StreamObserver<Flight.FlightData> doPut(StreamObserver<Flight.PutResult> out) {
+            String id = ID.get();
+            return new StreamObserver<>() {
+                private int frames;
+                private FlightSql.CommandStatementIngest load;
 
-        synchronized boolean hasDropped() {
-            return dropped;
-        }
+                @Override
+                public void onNext(Flight.FlightData data) {
+                    if (frames++ == 0) {
+                        load =
+                                Wire.unpack(
+                                        data.getFlightDescriptor().getCmd(),
+                                        FlightSql.CommandStatementIngest.class);
+                    }
+                }
 
-        @Override
-        public synchronized void doAction(
-                Flight.Action request, StreamObserver<Flight.Result> out) {
-            if (request.getType().equals("CreatePreparedStatement")) {
-                String handle = "handle-" + ++handles;
-                rig.record("engine: prepares '" + SQL + "' as " + handle);
-                try {
+                @Override
+                public void onError(Throwable error) {
+                    rig.record(name + ": the load " + id + " broke off before it was whole");
+                }
+
+                @Override
+                public void onCompleted() {
+                    int run = id.equals(LOAD) ? runs.incrementAndGet() : 0;
+                    rig.record(
+                            name + ": RUNS the load " + id + ", table " + load.getSchema() + "."
+                                    + load.getTable() + " is replaced, " + (frames - 1) + " batches");
+                    if (Rig.trouble() && run == 1) {
+                        try {
+                            rig.record(name + ": dies before it has answered");
+                            link.die();
+                        } catch (Exception e) {
+                            rig.record(name + ": " + e);
+                        }
+                        return;
+                    }
                     out.onNext(
-                            Flight.Result.newBuilder()
-                                    .setBody(
-                                            Wire.pack(
-                                                    FlightSql.ActionCreatePreparedStatementResult
-                                                            .newBuilder()
-                                                            .setPreparedStatementHandle(
-                                                                    com.google.protobuf.ByteString
-                                                                            .copyFromUtf8(handle))
-                                                            .setDatasetSchema(schema())
-                                                            .build()))
+                            Flight.PutResult.newBuilder()
+                                    .setAppMetadata(
+                                            FlightSql.DoPutUpdateResult.newBuilder()
+                                                    .setRecordCount(0)
+                                                    .build()
+                                                    .toByteString())
                                     .build());
-                } catch (Exception e) {
-                    out.onError(Status.INTERNAL.asRuntimeException());
-                    return;
+                    out.onCompleted();
                 }
-            }
-            out.onCompleted();
-        }
-
-        private static com.google.protobuf.ByteString schema() throws Exception {
-            // A schema by itself, as an IPC message: mark, length, header.
-            com.google.protobuf.ByteString header = Rows.encode(List.of()).get(0).getDataHeader();
-            java.nio.ByteBuffer prefix =
-                    java.nio.ByteBuffer.allocate(8).order(java.nio.ByteOrder.LITTLE_ENDIAN);
-            prefix.putInt(-1).putInt(header.size()).flip();
-            return com.google.protobuf.ByteString.copyFrom(prefix).concat(header);
-        }
-
-        @Override
-        public synchronized void getFlightInfo(
-                Flight.FlightDescriptor request, StreamObserver<Flight.FlightInfo> out) {
-            String handle =
-                    Wire.unpack(request.getCmd(), FlightSql.CommandPreparedStatementQuery.class)
-                            .getPreparedStatementHandle()
-                            .toStringUtf8();
-            int result = ++results;
-            Flight.FlightInfo.Builder info =
-                    Flight.FlightInfo.newBuilder().setFlightDescriptor(request);
-            for (int i = 0; i < PARTS.size(); i++) {
-                String ticket = "result-" + result + "/part-" + (i + 1);
-                parts.put(ticket, PARTS.get(i));
-                info.addEndpoint(
-                        Flight.FlightEndpoint.newBuilder()
-                                .setTicket(
-                                        Flight.Ticket.newBuilder()
-                                                .setTicket(
-                                                        com.google.protobuf.ByteString.copyFromUtf8(
-                                                                ticket))));
-            }
-            rig.record("engine: runs " + handle + ", result-" + result + " has two parts");
-            if (drop) {
-                drop = false;
-                dropped = true;
-                parts.remove("result-" + result + "/part-1");
-                rig.record("engine: DROPS result-" + result + "/part-1");
-            }
-            out.onNext(info.build());
-            out.onCompleted();
+            };
         }
+    }
 
-        @Override
-        public synchronized void doGet(
-                Flight.Ticket request, StreamObserver<Flight.FlightData> out) {
-            String ticket = request.getTicket().toStringUtf8();
-            List<String> rows = parts.remove(ticket);
-            if (rows == null) {
-                rig.record("engine: " + ticket + " is asked for, not known any more");
-                out.onError(
-                        Status.NOT_FOUND
-                                .withDescription("no such part: " + ticket)
-                                .asRuntimeException());
-                return;
+    /** The id that the front end gives the request, the same on each attempt. */
+    private static ServerInterceptor ids() {
+        return new ServerInterceptor() {
+            @Override
+            public <Q, R> ServerCall.Listener<Q> interceptCall(
+                    ServerCall<Q, R> call, Metadata headers, ServerCallHandler<Q, R> next) {
+                return Contexts.interceptCall(
+                        Context.current().withValue(ID, String.valueOf(headers.get(REQUEST_ID))),
+                        call,
+                        headers,
+                        next);
             }
-            rig.record("engine: sends " + ticket + ", rows " + rows);
-            try {
-                Rows.encode(List.of(rows)).forEach(out::onNext);
-                out.onCompleted();
-            } catch (Exception e) {
-                out.onError(Status.INTERNAL.asRuntimeException());
-            }
-        }
+        };
     }
 
-    /** Runs the prepared statement once; false if the result is said to be whole and is not. */
-    private static boolean execute(
-            Rig rig, FlightServiceGrpc.FlightServiceBlockingStub client, Flight.FlightDescriptor what) {
-        List<String> wanted = PARTS.stream().flatMap(List::stream).toList();
-        List<Flight.FlightData> messages = new ArrayList<>();
-        try {
-            Flight.FlightInfo info =
-                    client.withDeadlineAfter(10, TimeUnit.SECONDS).getFlightInfo(what);
-            for (Flight.FlightEndpoint endpoint : info.getEndpointList()) {
-                Iterator<Flight.FlightData> frames =
-                        client.withDeadlineAfter(10, TimeUnit.SECONDS).doGet(endpoint.getTicket());
-                frames.forEachRemaining(messages::add);
-            }
-            List<String> rows = Rows.decode(messages);
-            rig.record("client: served, rows " + rows);
-            return rows.equals(wanted);
-        } catch (StatusRuntimeException e) {
-            rig.record("client: status " + e.getStatus());
-            return true;
-        } catch (java.io.IOException e) {
-            rig.record("client: the result can't be read: " + e);
-            return false;
-        }
+    /** Sends a load; its end as text. */
+    private static CompletableFuture<String> load(
+            Rig rig, ManagedChannel client, String id, List<List<String>> batches) throws Exception {
+        CompletableFuture<String> answer = new CompletableFuture<>();
+        StreamObserver<Flight.FlightData> put =
+                FlightServiceGrpc.newStub(client)
+                        .withInterceptors(Wire.headers(Wire.CLASS, "stat-load", REQUEST_ID, id))
+                        .withDeadlineAfter(20, TimeUnit.SECONDS)
+                        .doPut(
+                                new StreamObserver<>() {
+                                    @Override
+                                    public void onNext(Flight.PutResult result) {}
+
+                                    @Override
+                                    public void onError(Throwable error) {
+                                        answer.complete(Status.fromThrowable(error).toString());
+                                    }
+
+                                    @Override
+                                    public void onCompleted() {
+                                        answer.complete("served");
+                                    }
+                                });
+        FlightSql.CommandStatementIngest command =
+                FlightSql.CommandStatementIngest.newBuilder()
+                        .setSchema("sales_17")
+                        .setTable("totals")
+                        .setTableDefinitionOptions(
+                                FlightSql.CommandStatementIngest.TableDefinitionOptions.newBuilder()
+                                        .setIfNotExist(
+                                                FlightSql.CommandStatementIngest
+                                                        .TableDefinitionOptions
+                                                        .TableNotExistOption
+                                                        .TABLE_NOT_EXIST_OPTION_CREATE)
+                                        .setIfExists(
+                                                FlightSql.CommandStatementIngest
+                                                        .TableDefinitionOptions.TableExistsOption
+                                                        .TABLE_EXISTS_OPTION_REPLACE))
+                        .build();
+        rig.record("client: one load, class stat-load, replaces sales_17.totals, id " + id);
+        List<Flight.FlightData> frames = Rows.encode(batches);
+        put.onNext(
+                frames.get(0).toBuilder().setFlightDescriptor(Wire.descriptor(command)).build());
+        Thread.sleep(SOURCE_MS);
+        frames.subList(1, frames.size()).forEach(put::onNext);
+        put.onCompleted();
+        rig.record("client: that was all of " + id + ", " + (frames.size() - 1) + " batches");
+        return answer;
     }
 
     private static int run(Rig rig) throws Exception {
-        Engine stand = new Engine(rig);
-        Server engine =
-                NettyServerBuilder.forAddress(new InetSocketAddress("127.0.0.1", 0))
-                        .addService(stand)
-                        .build()
-                        .start();
-        rig.changeLog().tell(ChangeLog.engine("s-00000001", engine.getPort(), "Ready", 0));
+        AtomicInteger runs = new AtomicInteger();
+        List<Server> servers = new ArrayList<>();
+        List<Link> links = new ArrayList<>();
+        List<String> listed = new ArrayList<>();
+        for (int i = 1; i <= ENGINES; i++) {
+            String name = "s-0000000" + i;
+            Engine engine = new Engine(rig, name, runs);
+            Server server =
+                    NettyServerBuilder.forAddress(new InetSocketAddress("127.0.0.1", 0))
+                            .addService(ServerInterceptors.intercept(engine, ids()))
+                            .build()
+                            .start();
+            engine.link = new Link(server.getPort());
+            servers.add(server);
+            links.add(engine.link);
+            listed.add(ChangeLog.engine(name, engine.link.port(), "Ready", 0));
+        }
+        rig.changeLog().tell(listed.toArray(new String[0]));
         Rig.FrontEnd front = rig.startFrontEnd("n1");
-        ManagedChannel channel = Wire.connect(front.flightPort());
-        FlightServiceGrpc.FlightServiceBlockingStub client =
-                FlightServiceGrpc.newBlockingStub(channel);
-        Flight.Result made =
-                client.withDeadlineAfter(10, TimeUnit.SECONDS)
-                        .doAction(
-                                Wire.action(
-                                        "CreatePreparedStatement",
-                                        FlightSql.ActionCreatePreparedStatementRequest.newBuilder()
-                                                .setQuery(SQL)
-                                                .build()))
-                        .next();
-        Flight.FlightDescriptor what =
-                Wire.descriptor(
-                        FlightSql.CommandPreparedStatementQuery.newBuilder()
-                                .setPreparedStatementHandle(
-                                        Wire.unpack(
-                                                        made.getBody(),
-                                                        FlightSql.ActionCreatePreparedStatementResult
-                                                                .class)
-                                                .getPreparedStatementHandle())
-                                .build());
-        boolean held = true;
-        for (int i = 1; i <= EXECUTIONS; i++) {
-            rig.record("client: execution " + i + " of '" + SQL + "'");
-            if (i == TROUBLED && Rig.trouble()) {
-                stand.dropNext();
+        ManagedChannel client = Wire.connect(front.flightPort());
+        for (int i = 0; i < EARLIER; i++) {
+            load(rig, client, "earlier-" + i, List.of(List.of("a", "b"))).get(20, TimeUnit.SECONDS);
+        }
+        CompletableFuture<String> answer = load(rig, client, LOAD, List.of());
+        long until = rig.millis() + WATCH_MS;
+        boolean told = false;
+        while (rig.millis() < until) {
+            if (answer.isDone() && !told) {
+                told = true;
+                rig.record("client: the load ended with " + answer.join());
             }
-            held &= execute(rig, client, what);
+            Thread.sleep(20);
+        }
+        if (runs.get() == 0) {
+            throw new IllegalStateException("the load never came to an engine");
         }
-        if (Rig.trouble() && !stand.hasDropped()) {
-            throw new IllegalStateException("no part was dropped");
+        client.shutdownNow();
+        for (Link link : links) {
+            link.close();
         }
-        channel.shutdownNow();
-        engine.shutdownNow();
+        servers.forEach(Server::shutdownNow);
+        boolean held = runs.get() == 1;
         rig.record(
                 held
-                        ? "HELD: what was served was whole"
-                        : "BROKEN: a result was served without all of its rows");
+                        ? "HELD: the load ran once"
+                        : "BROKEN: the load ran " + runs.get() + " times");
         return held ? Rig.HELD : Rig.BROKEN;
     }
 
--- a/review/lib/review/Rig.java
+++ b/review/lib/review/Rig.java
@@ -183,6 +183,16 @@
         }
     }
 
+    /** Records the first line of a front end's log that has this text, if there is one. */
+    public void recordLog(String name, String text) throws IOException {
+        for (String line : Files.readAllLines(folder.resolve(name).resolve("log.txt"))) {
+            if (line.contains(text)) {
+                record("log of " + name + ": " + line);
+                return;
+            }
+        }
+    }
+
     /** Ends every process that was started, and removes the folder. */
     @Override
     public void close() throws Exception {
