Schemas are checked before they are read, and no Error ends the event loop

Cause: Arrow's library follows the offsets, counts and nesting of a schema as it finds them, and it was handed bytes of clients and engines unchecked, on the loop. The loop caught RuntimeException and OutOfMemoryError; a StackOverflowError left it and ended the main thread. DoPut answered StatusRuntimeException alone. SchemaReader is the only reader of schemas: clients' parameters, engines' parameters and result schemas, SqlInfo, results as text. The loop logs any Error of a task or channel and goes on. ServerCall.run answers a call whose step fails in any way; it replaces two guards. Why it works: what is read is then bounded by the message's own length, and what fails all the same costs its call or connection alone.

--- a/src/main/java/calicostream/flight/ArrowRows.java
+++ b/src/main/java/calicostream/flight/ArrowRows.java
@@ -6,6 +6,8 @@
 import calicostream.flight.wire.EngineResult;
 import calicostream.flight.wire.FlightFrame;
 import calicostream.flight.wire.FlightWire;
+import calicostream.flight.wire.SchemaReader;
+import calicostream.flight.wire.UnreadableSchemaException;
 import com.google.protobuf.ByteString;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
@@ -89,7 +91,7 @@
     }
 
     /** Frames as an IPC stream; bodies off the heap are used up. */
-    public static byte[] ipc(List<FlightFrame> frames) {
+    private static byte[] ipc(List<FlightFrame> frames) {
         try {
             ByteArrayOutputStream out = new ByteArrayOutputStream();
             for (FlightFrame frame : frames) {
@@ -102,6 +104,22 @@
         }
     }
 
+    /**
+     * Opens a reader of an engine's result, whose schema is checked before the library reads it.
+     * Bodies off the heap are used up.
+     *
+     * @throws UnreadableSchemaException where the schema can't be read
+     */
+    public static ArrowStreamReader reader(List<FlightFrame> frames)
+            throws UnreadableSchemaException {
+        for (FlightFrame frame : frames) {
+            if (frame.kind() == FlightFrame.Kind.SCHEMA) {
+                SchemaReader.verify(frame);
+            }
+        }
+        return new ArrowStreamReader(new ByteArrayInputStream(ipc(frames)), ALLOCATOR);
+    }
+
     public static String cell(Object value) {
         return value == null ? "" : value.toString();
     }
@@ -116,17 +134,16 @@
             return ((TextResult) result).text();
         } else {
             try {
-                return text(ipc(held.frames()));
+                return text(held.frames());
             } finally {
-                held.room().run();
+                held.drop();
             }
         }
     }
 
-    private static byte[] text(byte[] stream) {
+    private static byte[] text(List<FlightFrame> frames) {
         StringBuilder out = new StringBuilder();
-        try (ArrowStreamReader reader =
-                new ArrowStreamReader(new ByteArrayInputStream(stream), ALLOCATOR)) {
+        try (ArrowStreamReader reader = reader(frames)) {
             VectorSchemaRoot root = reader.getVectorSchemaRoot();
             while (reader.loadNextBatch()) {
                 for (int row = 0; row < root.getRowCount(); row++) {
--- a/src/main/java/calicostream/flight/front/CatalogHandler.java
+++ b/src/main/java/calicostream/flight/front/CatalogHandler.java
@@ -83,7 +83,7 @@
                 new Waiter(
                         told -> {
                             if (!call.isOver()) {
-                                then.accept(told);
+                                call.run(() -> then.accept(told));
                             }
                         });
         switch (shared.lookUp(desk.now(), question, waiter)) {
--- a/src/main/java/calicostream/flight/front/DoPutHandler.java
+++ b/src/main/java/calicostream/flight/front/DoPutHandler.java
@@ -15,7 +15,6 @@
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.grpc.Status;
-import io.grpc.StatusRuntimeException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
@@ -81,7 +80,7 @@
         if (to != null) {
             pass(to, frame);
         } else {
-            desk.loop.post(() -> guarded(() -> take(frame)));
+            desk.loop.post(() -> call.run(() -> take(frame)));
         }
     }
 
@@ -108,15 +107,7 @@
         if (to != null) {
             to.end();
         } else {
-            desk.loop.post(() -> guarded(this::end));
-        }
-    }
-
-    private void guarded(Runnable work) {
-        try {
-            work.run();
-        } catch (StatusRuntimeException e) {
-            call.fail(e.getStatus());
+            desk.loop.post(() -> call.run(this::end));
         }
     }
 
@@ -192,7 +183,7 @@
                 info.ifSubstrait(
                         call,
                         () ->
-                                guarded(
+                                call.run(
                                         () ->
                                                 run(
                                                         "",
--- a/src/main/java/calicostream/flight/front/FlightSqlServer.java
+++ b/src/main/java/calicostream/flight/front/FlightSqlServer.java
@@ -15,8 +15,6 @@
 import io.grpc.Context;
 import io.grpc.Server;
 import io.grpc.ServerInterceptors;
-import io.grpc.Status;
-import io.grpc.StatusRuntimeException;
 import io.grpc.netty.NettyServerBuilder;
 import io.grpc.stub.ServerCallStreamObserver;
 import io.grpc.stub.ServerCalls;
@@ -277,38 +275,18 @@
         if (call.isOver()) {
             return;
         }
-        guarded(
-                call,
-                () ->
-                        logins.identify(
-                                call,
-                                () -> {
-                                    Admission.Decision answer = desk.admission.admit(call.client);
-                                    if (answer != Admission.Decision.ADMITTED) {
-                                        desk.gateway.recordRejection(
-                                                Math.max(
-                                                        0,
-                                                        desk.classOf(
-                                                                call, null, config.queryClass())));
-                                        call.fail(
-                                                FlightStatuses.refusal(desk.mostWaitMs()),
-                                                desk.mostWaitMs());
-                                        return;
-                                    }
-                                    call.atEnd(() -> desk.admission.callEnded(call.client));
-                                    guarded(call, serve);
-                                }));
+        call.run(() -> logins.identify(call, () -> admit(call, serve)));
     }
 
-    private static void guarded(ServerCall<?> call, Runnable work) {
-        try {
-            work.run();
-        } catch (StatusRuntimeException e) {
-            call.fail(e.getStatus());
-        } catch (RuntimeException e) {
-            LOG.error("a call failed", e);
-            call.fail(Status.INTERNAL.withDescription("failed; it may have run"));
+    private void admit(ServerCall<?> call, Runnable serve) {
+        if (desk.admission.admit(call.client) != Admission.Decision.ADMITTED) {
+            desk.gateway.recordRejection(
+                    Math.max(0, desk.classOf(call, null, config.queryClass())));
+            call.fail(FlightStatuses.refusal(desk.mostWaitMs()), desk.mostWaitMs());
+            return;
         }
+        call.atEnd(() -> desk.admission.callEnded(call.client));
+        call.run(serve);
     }
 
     private void doGet(Flight.Ticket ticket, StreamObserver<FlightFrame> out) {
--- a/src/main/java/calicostream/flight/front/PreparedStatementHandler.java
+++ b/src/main/java/calicostream/flight/front/PreparedStatementHandler.java
@@ -11,20 +11,17 @@
 import calicostream.flight.wire.EngineResult;
 import calicostream.flight.wire.FlightFrame;
 import calicostream.flight.wire.FlightWire;
+import calicostream.flight.wire.SchemaReader;
+import calicostream.flight.wire.UnreadableSchemaException;
 import com.google.protobuf.Any;
 import com.google.protobuf.ByteString;
 import com.google.protobuf.Message;
 import io.grpc.Status;
-import java.io.ByteArrayInputStream;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.nio.channels.Channels;
 import java.util.ArrayList;
 import java.util.List;
 import org.apache.arrow.flight.impl.Flight;
 import org.apache.arrow.flight.sql.impl.FlightSql;
-import org.apache.arrow.vector.ipc.ReadChannel;
-import org.apache.arrow.vector.ipc.message.MessageSerializer;
 import org.apache.arrow.vector.types.pojo.Schema;
 
 /**
@@ -186,7 +183,7 @@
             parameters =
                     told.getParameterSchema().isEmpty()
                             ? null
-                            : parameters(told.getParameterSchema());
+                            : parameters(SchemaReader.readMessage(told.getParameterSchema()));
         } catch (IOException | RuntimeException e) {
             call.fail(Status.INTERNAL.withDescription("the engine's statement can't be read"));
             return;
@@ -256,16 +253,6 @@
 
     // ---- Parameters
     // -----------------------------------------------------------------------------------
-    static Schema schema(byte[] bytes) throws IOException {
-        return MessageSerializer.deserializeSchema(
-                new ReadChannel(Channels.newChannel(new ByteArrayInputStream(bytes))));
-    }
-
-    private static List<PreparedStatement.Parameter> parameters(ByteString schema)
-            throws IOException {
-        return parameters(schema(schema.toByteArray()));
-    }
-
     private static List<PreparedStatement.Parameter> parameters(Schema schema) {
         return schema.getFields().stream()
                 .map(
@@ -285,11 +272,9 @@
         long rows = frames.stream().mapToLong(FlightFrame::rows).sum();
         if (!frames.isEmpty()) {
             try {
-                ByteArrayOutputStream ipc = new ByteArrayOutputStream();
-                frames.get(0).writeIpc(ipc);
-                got = parameters(schema(ipc.toByteArray()));
-            } catch (IOException | RuntimeException e) {
-                return "the parameters' schema can't be read";
+                got = parameters(SchemaReader.read(frames.get(0)));
+            } catch (UnreadableSchemaException e) {
+                return "the parameters' schema can't be read: " + e.getMessage();
             }
         }
         return statement.core.parameterError(got, rows);
@@ -304,8 +289,8 @@
 
     static boolean isRead(ByteString schema) {
         try {
-            return !schema.isEmpty() && !schema(schema.toByteArray()).getFields().isEmpty();
-        } catch (IOException | RuntimeException e) {
+            return !schema.isEmpty() && !SchemaReader.readMessage(schema).getFields().isEmpty();
+        } catch (UnreadableSchemaException e) {
             return true;
         }
     }
--- a/src/main/java/calicostream/flight/front/ServerCall.java
+++ b/src/main/java/calicostream/flight/front/ServerCall.java
@@ -6,15 +6,19 @@
 import io.grpc.Deadline;
 import io.grpc.Metadata;
 import io.grpc.Status;
+import io.grpc.StatusRuntimeException;
 import io.grpc.stub.ServerCallStreamObserver;
 import java.util.ArrayList;
 import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * One call of a client, from its start to its one end. The loop's, but for the observer's own
  * calls.
  */
 class ServerCall<R> {
+    private static final Logger LOG = LoggerFactory.getLogger(ServerCall.class);
     final CallContext caller;
     final Deadline deadline;
     final ServerCallStreamObserver<R> out;
@@ -42,6 +46,19 @@
         }
     }
 
+    /** Runs a step of this call. If the step fails, its failure is the call's answer. */
+    void run(Runnable step) {
+        try {
+            step.run();
+        } catch (StatusRuntimeException e) {
+            fail(e.getStatus());
+        } catch (RuntimeException | Error e) {
+            // Answered first: logging may fail by the same Error.
+            fail(Status.INTERNAL.withDescription("failed; it may have run"));
+            LOG.error("a call failed", e);
+        }
+    }
+
     void end() {
         over = true;
         answered = true;
--- a/src/main/java/calicostream/flight/front/SqlInfo.java
+++ b/src/main/java/calicostream/flight/front/SqlInfo.java
@@ -6,7 +6,6 @@
 import calicostream.flight.wire.FlightFrame;
 import calicostream.flight.wire.FlightWire;
 import com.google.protobuf.ByteString;
-import java.io.ByteArrayInputStream;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -118,7 +117,7 @@
                     CatalogHandler.Told told;
                     try {
                         told = new CatalogHandler.Told(together(wanted, theirs), null, -1);
-                    } catch (IOException | RuntimeException e) {
+                    } catch (IOException | RuntimeException | Error e) {
                         told =
                                 new CatalogHandler.Told(
                                         null,
@@ -130,7 +129,7 @@
                     desk.loop.post(
                             () -> {
                                 if (!call.isOver()) {
-                                    then.accept(result);
+                                    call.run(() -> then.accept(result));
                                 }
                             });
                 });
@@ -143,9 +142,7 @@
         ids.removeIf(id -> !wanted.isEmpty() && !wanted.contains(id));
         own().send(ids, new FrameListener(out));
         if (theirs != null) {
-            try (ArrowStreamReader reader =
-                    new ArrowStreamReader(
-                            new ByteArrayInputStream(ArrowRows.ipc(theirs)), ArrowRows.ALLOCATOR)) {
+            try (ArrowStreamReader reader = ArrowRows.reader(theirs)) {
                 VectorSchemaRoot from = reader.getVectorSchemaRoot();
                 while (reader.loadNextBatch()) {
                     add(from, wanted, out);
@@ -195,10 +192,7 @@
                         return;
                     }
                     boolean yes = false;
-                    try (ArrowStreamReader reader =
-                            new ArrowStreamReader(
-                                    new ByteArrayInputStream(ArrowRows.ipc(framesOf(told))),
-                                    ArrowRows.ALLOCATOR)) {
+                    try (ArrowStreamReader reader = ArrowRows.reader(framesOf(told))) {
                         VectorSchemaRoot root = reader.getVectorSchemaRoot();
                         while (reader.loadNextBatch()) {
                             for (int i = 0; i < root.getRowCount(); i++) {
--- a/src/main/java/calicostream/net/SelectorLoop.java
+++ b/src/main/java/calicostream/net/SelectorLoop.java
@@ -22,7 +22,7 @@
 /**
  * The server's event loop: one thread that owns all state and serves sockets, deadlines and tasks.
  * Only {@link #post} may be called from other threads. A failure while one channel or task is
- * served is logged and never ends the loop.
+ * served, an {@link Error} included, is logged and never ends the loop.
  */
 public final class SelectorLoop {
     private static final Logger LOG = LoggerFactory.getLogger(SelectorLoop.class);
@@ -291,20 +291,20 @@
         } catch (IOException e) {
             LOG.warn("channel failed: {}", e.toString());
             runGuarded(handler::onFailure);
-        } catch (RuntimeException | OutOfMemoryError e) {
+        } catch (RuntimeException | Error e) {
             runGuarded(() -> LOG.error("unexpected failure of a channel", e));
             runGuarded(handler::onFailure);
         }
     }
 
-    /** Memory may run short for one task; the others must not end with it. */
+    /** Stack or memory may run short for one task; the others must not end with it. */
     private static void runGuarded(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException | OutOfMemoryError e) {
+        } catch (RuntimeException | Error e) {
             try {
                 LOG.error("unexpected failure of a task", e);
-            } catch (OutOfMemoryError again) {
+            } catch (Error again) {
                 // Not even the log line could be written; the next task may succeed.
             }
         }
--- a/src/test/java/calicostream/flight/suite/FakeFlightEngine.java
+++ b/src/test/java/calicostream/flight/suite/FakeFlightEngine.java
@@ -74,6 +74,7 @@
     private final Map<String, Integer> polled = new HashMap<>();
     private final List<Long> cancelledAt = Collections.synchronizedList(new ArrayList<>());
     private int named;
+    private volatile ByteString parameterSchema;
     volatile Runnable onDrain = () -> {};
 
     FakeFlightEngine(Script script) throws IOException {
@@ -151,6 +152,11 @@
         return cancelledAt;
     }
 
+    /** From now on, prepared statements are told with this schema of their parameters. */
+    void prepareWith(ByteString schema) {
+        parameterSchema = schema;
+    }
+
     /** The same engine process no more knows what it held. */
     synchronized void forget() {
         prepared.clear();
@@ -605,7 +611,10 @@
                                 FlightSql.ActionCreatePreparedStatementResult.newBuilder()
                                         .setPreparedStatementHandle(ByteString.copyFromUtf8(made))
                                         .setParameterSchema(
-                                                Data.schemaBytes(Data.parameters((int) marks)));
+                                                parameterSchema != null
+                                                        ? parameterSchema
+                                                        : Data.schemaBytes(
+                                                                Data.parameters((int) marks)));
                         result =
                                 sql.startsWith("select")
                                         ? told.setDatasetSchema(Data.schemaBytes(Data.ROWS)).build()
--- a/src/test/java/calicostream/flight/suite/FlightHarness.java
+++ b/src/test/java/calicostream/flight/suite/FlightHarness.java
@@ -38,6 +38,10 @@
 public final class FlightHarness implements AutoCloseable {
     static final long PATIENCE_S = 30;
     private static final long LOOK_AGAIN_NS = 200_000;
+
+    /** As in the deploy file. */
+    private static final int LOOP_STACK_BYTES = 512 * 1024;
+
     private static final String SETTINGS =
             "zones=hall-a\n"
                     + "flavors=std\n"
@@ -125,6 +129,7 @@
         front.start();
         Thread thread =
                 new Thread(
+                        null,
                         () -> {
                             try {
                                 loop.run();
@@ -132,7 +137,8 @@
                                 throw new java.io.UncheckedIOException(e);
                             }
                         },
-                        "loop");
+                        "loop",
+                        LOOP_STACK_BYTES);
         thread.setDaemon(true);
         thread.start();
     }
--- a/src/test/java/calicostream/net/SelectorLoopTest.java
+++ b/src/test/java/calicostream/net/SelectorLoopTest.java
@@ -15,7 +15,10 @@
 import java.net.Socket;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -24,6 +27,8 @@
 /** Failures of the selector under open channels. */
 class SelectorLoopTest {
     private static final int TIMEOUT_SECONDS = 20;
+    private static final byte FAILING_BYTE = 0;
+    private final Queue<Error> injectedErrors = new ConcurrentLinkedQueue<>();
 
     /** Connections and the listener are sound and go on. */
     @Test
@@ -75,7 +80,54 @@
         }
     }
 
-    private static Listener.Acceptor echo(SelectorLoop loop) {
+    /** A StackOverflowError of one task ended the loop, and the process with it. */
+    @Test
+    void errorsOfTasksAndChannelsDoNotEndTheLoop() throws Exception {
+        SelectorLoop loop = new SelectorLoop(new Clock(), new Deadlines());
+        Listener listener =
+                new Listener(
+                        loop,
+                        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                        8,
+                        echo(loop));
+        CompletableFuture<Void> ended =
+                CompletableFuture.runAsync(
+                        () -> {
+                            try {
+                                loop.run();
+                            } catch (IOException e) {
+                                throw new UncheckedIOException(e);
+                            }
+                        });
+        try (Socket other = new Socket(InetAddress.getLoopbackAddress(), listener.port())) {
+            assertEchoes(other, "before");
+            for (Error error :
+                    List.of(
+                            new StackOverflowError("injected"),
+                            new NoClassDefFoundError("injected"),
+                            new AssertionError("injected"),
+                            new OutOfMemoryError("injected"))) {
+                loop.post(
+                        () -> {
+                            throw error;
+                        });
+                assertEchoes(other, "after a task");
+                injectedErrors.add(error);
+                try (Socket failing =
+                        new Socket(InetAddress.getLoopbackAddress(), listener.port())) {
+                    failing.setSoTimeout((int) TimeUnit.SECONDS.toMillis(TIMEOUT_SECONDS));
+                    failing.getOutputStream().write(FAILING_BYTE);
+                    assertEquals(-1, failing.getInputStream().read(), "its channel is closed");
+                }
+                assertEchoes(other, "after a channel");
+            }
+            loop.post(loop::stop);
+            ended.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        }
+    }
+
+    /** Echoes what comes; a failing byte is answered by the next injected error. */
+    private Listener.Acceptor echo(SelectorLoop loop) {
         return new Listener.Acceptor() {
             @Override
             public void accepted(SocketChannel channel) throws IOException {
@@ -87,6 +139,9 @@
                             public void received(Connection connection) {
                                 byte[] all = connection.input().copy(0, connection.input().size());
                                 connection.input().skip(all.length);
+                                if (all[0] == FAILING_BYTE) {
+                                    throw injectedErrors.remove();
+                                }
                                 connection.write(all);
                             }
 
