A load counts as never run only while no engine has its whole request, or by proof

Cause: IngestCall.closed took "no row has gone out" for a proof that the attempt never ran, but the end of the upload may have gone out, and then the engine has all of it. Any status but UNAVAILABLE before the first rows, an engine's INTERNAL included, became "rejected because of load", too. Change: Upload records what may have gone to engines: nothing beside the schema, the end, or rows. Never run means: the connection ended with nothing sent, or the engine's status proves it. Any other status has its usual outcome, and the client of an upload that may have run hears UNKNOWN. Why it works: the end is recorded under the same lock that hands it to the engine, before it goes out, so no status can come between. Tests: UploadTest had "rows have gone" as a boolean; it now compares all three states, and the end is one of its steps.

--- a/src/main/java/calicostream/flight/engine/IngestCall.java
+++ b/src/main/java/calicostream/flight/engine/IngestCall.java
@@ -18,9 +18,9 @@
 import org.apache.arrow.flight.sql.impl.FlightSql;
 
 /**
- * Rows from a client to an engine, one frame at a time and no faster than the engine takes them.
- * Until the first rows have gone out nothing is stored, so the attempt counts as never run; from
- * then on its outcome is the engine's to tell.
+ * Rows from a client to an engine, one frame at a time and no faster than the engine takes them. An
+ * attempt counts as never run in two cases: its connection ended before rows or the end of the
+ * upload went out, so that the engine had no whole request; or the engine proves it by its status.
  */
 final class IngestCall extends EngineCall implements Upload.Receiver {
     private static final long NOTE_EVERY = 200_000;
@@ -113,39 +113,35 @@
     }
 
     private void closed(Status status) {
-        boolean stored =
-                work.upload()
-                        .leave(this); // Asked once: rows on their way here must not be lost with
-        // this call.
+        // Asked once: what is on its way here must not be lost with this call.
+        Upload.Sent sent = work.upload().leave(this);
+        AttemptOutcome outcome = outcome(status);
         if (status.isOk()) {
-            try {
-                finish(
-                        told == null ? AttemptOutcome.ERROR : AttemptOutcome.OK,
-                        told == null
-                                ? null
-                                : new EngineResult.Counted(
-                                        FlightSql.DoPutUpdateResult.parseFrom(told.getAppMetadata())
-                                                .getRecordCount()));
-            } catch (InvalidProtocolBufferException e) {
-                finish(AttemptOutcome.ERROR, null);
-            }
+            finishWithCount();
         } else if (isOwnWord(status)) {
             conclude(status);
-        } else if (stored
-                && outcome(status)
-                        == AttemptOutcome
-                                .OVERLOADED) { // Proven: not a row was stored, though some are
-            // gone.
+        } else if (sent == Upload.Sent.NOTHING && status.getCode() == Status.Code.UNAVAILABLE) {
+            // The connection ended before the engine had a whole request.
+            finish(AttemptOutcome.CONNECT_FAILED, null);
+        } else if (sent == Upload.Sent.ROWS && outcome == AttemptOutcome.OVERLOADED) {
+            // The engine has stored no row, but those sent are gone.
             conclude(Status.UNAVAILABLE.withDescription("refused by the engine"));
-        } else if (stored) {
-            AttemptOutcome outcome = outcome(status);
-            finish(outcome.mayHaveRun ? outcome : AttemptOutcome.ERROR, null);
-        } else { // Not a row has gone out.
-            finish(
-                    status.getCode() == Status.Code.UNAVAILABLE
-                            ? AttemptOutcome.CONNECT_FAILED
-                            : AttemptOutcome.OVERLOADED,
-                    null);
+        } else {
+            finish(outcome, null);
+        }
+    }
+
+    private void finishWithCount() {
+        if (told == null) {
+            finish(AttemptOutcome.ERROR, null);
+            return;
+        }
+        try {
+            long rows =
+                    FlightSql.DoPutUpdateResult.parseFrom(told.getAppMetadata()).getRecordCount();
+            finish(AttemptOutcome.OK, new EngineResult.Counted(rows));
+        } catch (InvalidProtocolBufferException e) {
+            finish(AttemptOutcome.ERROR, null);
         }
     }
 }
--- a/src/main/java/calicostream/flight/front/DoPutHandler.java
+++ b/src/main/java/calicostream/flight/front/DoPutHandler.java
@@ -91,7 +91,7 @@
                     () -> {
                         if (!call.isAnswered()) {
                             call.fail(
-                                    to.isDrawn()
+                                    to.mayHaveRun()
                                             ? Upload.unknown("a frame can't be read")
                                             : FlightStatuses.invalid("a frame can't be read"));
                             call.end();
@@ -378,7 +378,7 @@
                     @Override
                     public void failed(FailureReason why) {
                         call.fail(
-                                rows.isDrawn()
+                                rows.mayHaveRun()
                                         ? Upload.unknown("the upload broke off")
                                         : FlightStatuses.failure(why));
                         rows.drop();
--- a/src/main/java/calicostream/flight/wire/Upload.java
+++ b/src/main/java/calicostream/flight/wire/Upload.java
@@ -6,9 +6,20 @@
 /**
  * Rows that a client sends, drawn by the engine side as fast as its engine takes them. The first
  * frame, the schema, can be sent again; from the first further frame on, no other engine may have
- * them. Calls into it may come from any thread.
+ * them. An engine that has the upload's end has the whole request, with rows or without. Calls into
+ * it may come from any thread.
  */
 public final class Upload {
+    /** What may have gone to engines, beside the schema. */
+    public enum Sent {
+        /** No engine has a whole request. */
+        NOTHING,
+        /** An engine may have the whole request, which has no rows. */
+        END,
+        /** An engine may have rows, which can't be sent again. */
+        ROWS
+    }
+
     /** Where the frames go. */
     public interface Receiver {
         void frame(FlightFrame frame);
@@ -25,7 +36,8 @@
     private final FlightFrame schema;
     private final Source source;
     private Receiver receiver;
-    private boolean drawn, ended, wanted, requested, dropped;
+    private Sent sent = Sent.NOTHING;
+    private boolean ended, wanted, requested, dropped;
     private FlightFrame waiting;
 
     /** {@code schema} is on the heap. */
@@ -40,7 +52,7 @@
 
     /** An engine is tried, or none (null); false if rows have gone to one already. */
     public synchronized boolean to(Receiver next) {
-        if (drawn) {
+        if (sent == Sent.ROWS) {
             return false;
         }
         receiver = next;
@@ -49,20 +61,24 @@
     }
 
     /**
-     * The receiver's engine has ended; whether rows may have gone to it. If not, none goes there
-     * any more: a frame that comes now waits for the next receiver.
+     * The receiver's engine has ended; what may have gone to engines. Nothing goes to this one any
+     * more: a frame that comes now waits for the next receiver.
      */
-    public synchronized boolean leave(Receiver who) {
+    public synchronized Sent leave(Receiver who) {
         if (who == receiver) {
             receiver = null;
             wanted = false;
         }
-        return drawn;
+        return sent;
+    }
+
+    /** Whether rows, or the end of an upload without rows, may have gone to an engine. */
+    public synchronized boolean mayHaveRun() {
+        return sent != Sent.NOTHING;
     }
 
-    /** Whether rows may have gone to an engine. */
-    public synchronized boolean isDrawn() {
-        return drawn;
+    private void markEndSent() {
+        sent = sent == Sent.ROWS ? Sent.ROWS : Sent.END;
     }
 
     /** The engine takes one more frame. */
@@ -75,8 +91,12 @@
             }
             now = waiting;
             waiting = null;
-            drawn |= now != null;
             end = now == null && ended;
+            if (now != null) {
+                sent = Sent.ROWS;
+            } else if (end) {
+                markEndSent();
+            }
             wanted = now == null && !end;
             ask = wanted && !requested;
             requested |= ask;
@@ -97,8 +117,9 @@
             requested = false;
             to = wanted ? receiver : null;
             wanted = false;
-            drawn |= to != null;
-            if (to == null && !dropped) {
+            if (to != null) {
+                sent = Sent.ROWS;
+            } else if (!dropped) {
                 waiting = frame;
                 return;
             }
@@ -117,6 +138,9 @@
             ended = true;
             to = wanted ? receiver : null;
             wanted = false;
+            if (to != null) {
+                markEndSent();
+            }
         }
         if (to != null) {
             to.end();
--- a/src/test/java/calicostream/flight/suite/FakeFlightEngine.java
+++ b/src/test/java/calicostream/flight/suite/FakeFlightEngine.java
@@ -220,6 +220,7 @@
     private <T> boolean acts(Act act, StreamObserver<T> out, Runnable answer) {
         switch (act) {
             case REFUSES:
+            case REFUSES_AT_END:
                 fail(out, refusal());
                 return false;
             case ERRS:
@@ -751,6 +752,8 @@
                     die();
                 } else if (act == Act.REFUSES) {
                     fail(out, refusal());
+                } else if (act == Act.ERRS_AT_ONCE) {
+                    fail(out, Status.INTERNAL.withDescription("scripted"));
                 }
             }
             String name = shortName(command);
@@ -795,6 +798,7 @@
         private void answer() {
             answered = true;
             if (act == Act.REFUSES
+                    || act == Act.ERRS_AT_ONCE
                     || act == Act.DIES_BEFORE
                     || act == Act.DIES_DURING && batches > 0) {
                 return;
--- a/src/test/java/calicostream/flight/suite/HardCasesTest.java
+++ b/src/test/java/calicostream/flight/suite/HardCasesTest.java
@@ -710,6 +710,54 @@
         assertEquals(1, rig.count("put"), "never on another engine");
     }
 
+    /** The load ran at the engine that died and again at another, as no row had gone out. */
+    @Test
+    void uploadWithoutRowsWhoseEngineDiesAtItsEndRunsOnce() throws Exception {
+        start(2);
+        script.next("put", Act.DIES_DURING);
+        CompletableFuture<String> end = new CompletableFuture<>();
+        StreamObserver<Flight.FlightData> up = put(end);
+        up.onNext(schema());
+        FlightHarness.await("at an engine", () -> rig.count("put") == 1);
+        up.onCompleted();
+        String told = end.get(PATIENCE_S, TimeUnit.SECONDS);
+        assertTrue(told.startsWith("UNKNOWN") && told.contains("outcome is unknown"), told);
+        assertEquals(1, rig.count("put"), "never on another engine");
+    }
+
+    /** An error before the first rows counted as a proof that the load had not run. */
+    @ParameterizedTest
+    @ValueSource(strings = {"ERRS", "ERRS_AT_ONCE"})
+    void uploadWithoutRowsWhoseEngineFailsRunsOnce(String act) throws Exception {
+        start(2);
+        script.next("put", Act.valueOf(act));
+        CompletableFuture<String> end = new CompletableFuture<>();
+        StreamObserver<Flight.FlightData> up = put(end);
+        up.onNext(schema());
+        FlightHarness.await("at an engine", () -> rig.count("put") == 1);
+        if (act.equals("ERRS")) {
+            up.onCompleted();
+        }
+        String told = end.get(PATIENCE_S, TimeUnit.SECONDS);
+        assertTrue(told.startsWith("UNKNOWN") || told.contains("may have run"), told);
+        assertEquals(1, rig.count("put"), "never on another engine");
+    }
+
+    /** With the engine's proof that it never ran, an upload without rows may go elsewhere. */
+    @Test
+    void uploadWithoutRowsThatIsRefusedIsTriedElsewhere() throws Exception {
+        start(2);
+        script.next("put", Act.REFUSES_AT_END);
+        CompletableFuture<String> end = new CompletableFuture<>();
+        StreamObserver<Flight.FlightData> up = put(end);
+        up.onNext(schema());
+        FlightHarness.await("at an engine", () -> rig.count("put") == 1);
+        up.onCompleted();
+        assertEquals("ok 0", end.get(PATIENCE_S, TimeUnit.SECONDS));
+        assertEquals(2, rig.count("put"));
+        assertEquals(1, rig.count("ingest"));
+    }
+
     private static Flight.FlightData schema() {
         return Data.schema(Data.ROWS).toBuilder()
                 .setFlightDescriptor(
--- a/src/test/java/calicostream/flight/suite/Script.java
+++ b/src/test/java/calicostream/flight/suite/Script.java
@@ -14,8 +14,10 @@
     enum Act {
         ANSWERS,
         REFUSES,
+        REFUSES_AT_END,
         SLOW,
         ERRS,
+        ERRS_AT_ONCE,
         DIES_BEFORE,
         DIES_DURING,
         DIES_AFTER,
--- a/src/test/java/calicostream/flight/wire/UploadTest.java
+++ b/src/test/java/calicostream/flight/wire/UploadTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
@@ -18,6 +19,7 @@
     private static final class Engine implements Upload.Receiver {
         final List<FlightFrame> got = new ArrayList<>();
         boolean left;
+        boolean ended;
 
         @Override
         public void frame(FlightFrame frame) {
@@ -26,7 +28,17 @@
         }
 
         @Override
-        public void end() {}
+        public void end() {
+            assertFalse(left, "the end for an engine that has ended is lost");
+            ended = true;
+        }
+
+        Upload.Sent sent() {
+            if (!got.isEmpty()) {
+                return Upload.Sent.ROWS;
+            }
+            return ended ? Upload.Sent.END : Upload.Sent.NOTHING;
+        }
     }
 
     private static FlightFrame frame() {
@@ -40,7 +52,7 @@
         Engine second = new Engine();
         upload.to(first);
         upload.draw(first);
-        assertFalse(upload.leave(first));
+        assertEquals(Upload.Sent.NOTHING, upload.leave(first));
         first.left = true;
         FlightFrame rows = frame();
         upload.frame(rows);
@@ -51,10 +63,11 @@
 
     /**
      * Steps in any order: a frame reaches one engine that is still there, and none is tried after
-     * one that has rows.
+     * one that has rows. An engine that has the end may have run the upload, with rows or without.
      */
     @Property(tries = 2000)
-    void framesGoToOneEngineOnly(@ForAll @Size(max = 40) List<@IntRange(max = 3) Integer> steps) {
+    void framesGoToOneEngineOnly(@ForAll @Size(max = 40) List<@IntRange(max = 4) Integer> steps) {
+        boolean ended = false;
         int[] asked = new int[1];
         Upload upload = new Upload(frame(), () -> asked[0]++);
         Engine now = new Engine();
@@ -64,12 +77,15 @@
         for (int step : steps) {
             if (step == 0 && !now.left) {
                 upload.draw(now);
-            } else if (step == 1 && asked[0] > sent.size()) {
+            } else if (step == 1 && asked[0] > sent.size() && !ended) {
                 sent.add(frame());
                 upload.frame(sent.get(sent.size() - 1));
             } else if (step == 2 && !now.left) {
                 now.left = true;
-                assertEquals(!now.got.isEmpty(), upload.leave(now));
+                Upload.Sent most =
+                        all.stream().map(Engine::sent).max(Comparator.naturalOrder()).get();
+                assertEquals(most, upload.leave(now));
+                assertEquals(most != Upload.Sent.NOTHING, upload.mayHaveRun());
             } else if (step == 3 && now.left) {
                 Engine next = new Engine();
                 boolean rowsAreOut = all.stream().anyMatch(each -> !each.got.isEmpty());
@@ -78,6 +94,9 @@
                     all.add(next);
                     now = next;
                 }
+            } else if (step == 4 && !ended) {
+                ended = true;
+                upload.end();
             }
         }
         List<FlightFrame> got = all.stream().flatMap(each -> each.got.stream()).toList();
