A spoilt result of a Flight SQL engine fails its attempt, not a platform client's answer

Cause: the same as of the schema that ended the process: bytes of an engine were read on the loop, here after the request was closed and removed; the exception also kept the router from hearing of the attempt's end, so the engine counted as occupied. Evidence: on PlatformClientTest got no answer for BAD_SCHEMA and BAD_BODY, and GatewayTest.failingResponseHandlerLeavesNoEngineOccupied stopped at the 65th request. Change: QueryCall makes the text on gRPC's threads before the attempt ends; what can't be read is CONNECTION_BROKEN, and is repeated where the class allows. The text is bounded as a held result is. AttemptLifecycle.deliver tells the router of the end even if the response handler fails. Tests: a request of the platform's protocol in HardCasesTest took its result as frames; it now gets text, and the rows are compared, which they were not.

--- a/src/main/java/calicostream/core/AttemptLifecycle.java
+++ b/src/main/java/calicostream/core/AttemptLifecycle.java
@@ -233,8 +233,11 @@
         request.recordOutcome(attempt, end.outcome());
         engines.attemptEnded(attempt, end.outcome(), end.report());
         long now = clock.now();
-        requests.answerFromAttemptEnd(request, end);
-        router.deliver(r -> r.attemptEnded(now, toAttemptResult(end, now)));
+        try {
+            requests.answerFromAttemptEnd(request, end);
+        } finally { // A response handler that fails must not leave the engine occupied.
+            router.deliver(r -> r.attemptEnded(now, toAttemptResult(end, now)));
+        }
     }
 
     private static AttemptResult toAttemptResult(AttemptEnd end, long now) {
--- a/src/main/java/calicostream/flight/ArrowRows.java
+++ b/src/main/java/calicostream/flight/ArrowRows.java
@@ -124,24 +124,22 @@
         return value == null ? "" : value.toString();
     }
 
-    /**
-     * An engine's result, or the count of an update, as rows of text; what it holds is given back.
-     */
+    /** Rows of text, or the count of an update, as rows of text. */
     public static byte[] text(RequestResult result) {
-        if (result instanceof EngineResult.Counted counted) {
-            return (counted.rows() + "\n").getBytes(StandardCharsets.UTF_8);
-        } else if (!(result instanceof EngineResult.Held held)) {
-            return ((TextResult) result).text();
-        } else {
-            try {
-                return text(held.frames());
-            } finally {
-                held.drop();
-            }
-        }
+        return result instanceof EngineResult.Counted counted
+                ? (counted.rows() + "\n").getBytes(StandardCharsets.UTF_8)
+                : ((TextResult) result).text();
     }
 
-    private static byte[] text(List<FlightFrame> frames) {
+    /**
+     * Reads an engine's result as rows of text. Bodies off the heap are used up.
+     *
+     * @param maxChars the length up to which the text is made
+     * @throws ResultTooLongException where the text is longer
+     * @throws IOException where the frames can't be read
+     * @throws RuntimeException likewise, as the library finds some faults no earlier
+     */
+    public static byte[] text(List<FlightFrame> frames, long maxChars) throws IOException {
         StringBuilder out = new StringBuilder();
         try (ArrowStreamReader reader = reader(frames)) {
             VectorSchemaRoot root = reader.getVectorSchemaRoot();
@@ -152,10 +150,11 @@
                                 .append(cell(root.getVector(i).getObject(row)));
                     }
                     out.append('\n');
+                    if (out.length() > maxChars) {
+                        throw new ResultTooLongException(maxChars);
+                    }
                 }
             }
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
         }
         return out.toString().getBytes(StandardCharsets.UTF_8);
     }
--- a/src/main/java/calicostream/flight/engine/QueryCall.java
+++ b/src/main/java/calicostream/flight/engine/QueryCall.java
@@ -2,6 +2,9 @@
 package calicostream.flight.engine;
 
 import calicostream.core.Attempt;
+import calicostream.core.TextResult;
+import calicostream.flight.ArrowRows;
+import calicostream.flight.ResultTooLongException;
 import calicostream.flight.state.ResultBuffering;
 import calicostream.flight.wire.EngineOperation;
 import calicostream.flight.wire.EngineResult;
@@ -13,11 +16,14 @@
 import io.grpc.ClientCall;
 import io.grpc.Metadata;
 import io.grpc.Status;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.apache.arrow.flight.impl.Flight;
 import org.apache.arrow.flight.sql.impl.FlightSql;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * A query and its result: the endpoints are read in order, as one stream. What the gate holds is
@@ -25,10 +31,12 @@
  * is drawn, when the sink takes it.
  */
 final class QueryCall extends EngineCall implements EngineResult.Stream {
+    private static final Logger LOG = LoggerFactory.getLogger(QueryCall.class);
     private final ByteString command;
     private final PreparedStatementLease lease;
     private final ResultBuffering gate;
     private final boolean streams;
+    private final boolean asText;
     private List<ByteString> tickets = List.of();
     private List<FlightFrame> held = new ArrayList<>();
     private final AtomicBoolean drawn = new AtomicBoolean(); // a frame has been asked for
@@ -66,6 +74,8 @@
         super(engines, attempt, with);
         this.command = command;
         this.streams = streams;
+        // A request without work of this protocol is a platform client's, which reads text.
+        asText = !(attempt.request().operation() instanceof EngineOperation.Job);
         lease = bound == null ? null : new PreparedStatementLease(this, bound);
         gate =
                 new ResultBuffering(
@@ -232,13 +242,43 @@
         } else if (gate.isStreaming()) {
             finish(AttemptOutcome.OK, null);
         } else {
-            List<FlightFrame> all = held;
-            long bytes = reserved;
-            held = List.of();
-            reserved = 0;
-            finish(
-                    AttemptOutcome.OK,
-                    new EngineResult.Held(all, () -> engines.admission.release(bytes)));
+            EngineResult.Held result = takeHeld();
+            if (asText) {
+                finishWithText(result);
+            } else {
+                finish(AttemptOutcome.OK, result);
+            }
+        }
+    }
+
+    private EngineResult.Held takeHeld() {
+        List<FlightFrame> all = held;
+        long bytes = reserved;
+        held = List.of();
+        reserved = 0;
+        return new EngineResult.Held(all, () -> engines.admission.release(bytes));
+    }
+
+    /**
+     * Ends the attempt with the result as text. A result that can't be read is found here, where
+     * the attempt can still fail and be repeated, and not on the loop.
+     */
+    private void finishWithText(EngineResult.Held result) {
+        long maxChars = engines.config.mostHeldBytes();
+        try {
+            byte[] text = ArrowRows.text(result.frames(), maxChars);
+            finish(AttemptOutcome.OK, new TextResult(text));
+        } catch (ResultTooLongException e) {
+            tooLong(maxChars, "the text");
+        } catch (IOException | RuntimeException | Error e) {
+            LOG.warn(
+                    "request {}: engine {} sent a result that can't be read: {}",
+                    attempt.request().id(),
+                    attempt.engine(),
+                    e.toString());
+            finish(AttemptOutcome.CONNECTION_BROKEN, null);
+        } finally {
+            result.drop();
         }
     }
 
--- a/src/test/java/calicostream/core/GatewayTest.java
+++ b/src/test/java/calicostream/core/GatewayTest.java
@@ -3,6 +3,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import calicostream.routing.AttemptOutcome;
@@ -308,6 +309,35 @@
         assertEquals(List.of("stop 0", "failed 1 ENGINE"), recordedCalls);
     }
 
+    /** The router did not hear of the end of such an attempt, so its engine stayed occupied. */
+    @Test
+    void failingResponseHandlerLeavesNoEngineOccupied() {
+        ResponseHandler failing =
+                new ResponseHandler() {
+                    @Override
+                    public void served(long tag, RequestResult result) {
+                        throw new IllegalStateException("injected");
+                    }
+
+                    @Override
+                    public void rejected(long tag, long retryAfterMs) {}
+
+                    @Override
+                    public void failed(long tag, FailureReason reason) {}
+                };
+        for (int i = 0; i < 200; i++) {
+            gateway.accept(
+                    IncomingRequest.of(failing, i, "failing" + i, 0, 1, 4_000_000, new byte[0]));
+            assertEquals(i + 1, sent.size(), "sent at once");
+            Attempt attempt = sent.get(i);
+            assertThrows(
+                    IllegalStateException.class,
+                    () ->
+                            gateway.attemptEnded(
+                                    attempt, AttemptOutcome.OK, null, new TextResult(new byte[0])));
+        }
+    }
+
     @Test
     void abandonedRequestGetsNoAnswerAndStopsItsAttempt() {
         gateway.abandon(accept(0, 1, 4_000_000));
--- a/src/test/java/calicostream/flight/suite/FakeFlightEngine.java
+++ b/src/test/java/calicostream/flight/suite/FakeFlightEngine.java
@@ -3,6 +3,7 @@
 
 import calicostream.flight.suite.Script.Act;
 import calicostream.flight.wire.FlightWire;
+import calicostream.flight.wire.SchemaMessages;
 import com.google.protobuf.Any;
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
@@ -539,6 +540,25 @@
                 to.onCompleted();
                 return;
             }
+            if (act == Act.BAD_SCHEMA) {
+                to.onNext(
+                        Flight.FlightData.newBuilder()
+                                .setDataHeader(SchemaMessages.cyclic())
+                                .build()
+                                .toByteArray());
+                to.onCompleted();
+                return;
+            }
+            if (act == Act.BAD_BODY) {
+                to.onNext(messages.next());
+                to.onNext(
+                        Data.batch(0, 2, 4).toBuilder()
+                                .setDataBody(ByteString.EMPTY)
+                                .build()
+                                .toByteArray());
+                to.onCompleted();
+                return;
+            }
             if (act == Act.BAD_ARROW) {
                 to.onNext(messages.next());
                 to.onNext(
--- a/src/test/java/calicostream/flight/suite/HardCasesTest.java
+++ b/src/test/java/calicostream/flight/suite/HardCasesTest.java
@@ -9,6 +9,7 @@
 import calicostream.core.IncomingRequest;
 import calicostream.core.RequestResult;
 import calicostream.core.ResponseHandler;
+import calicostream.core.TextResult;
 import calicostream.flight.suite.Script.Act;
 import calicostream.flight.wire.FlightWire;
 import calicostream.routing.EngineLifecycle;
@@ -22,6 +23,7 @@
 import io.grpc.stub.ClientCallStreamObserver;
 import io.grpc.stub.MetadataUtils;
 import io.grpc.stub.StreamObserver;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -1078,6 +1080,7 @@
                         .getTicket();
         List<String> other = new ArrayList<>();
         CompletableFuture<Void> done = new CompletableFuture<>();
+        CompletableFuture<byte[]> rows = new CompletableFuture<>();
         rig.onLoop(
                 () ->
                         rig.gateway.accept(
@@ -1086,9 +1089,7 @@
                                             @Override
                                             public void served(long tag, RequestResult result) {
                                                 other.add("served");
-                                                ((calicostream.flight.wire.EngineResult.Held)
-                                                                result)
-                                                        .drop();
+                                                rows.complete(((TextResult) result).text());
                                                 done.complete(null);
                                             }
 
@@ -1116,6 +1117,7 @@
         stub.doGet(ticket).forEachRemaining(got::add);
         done.get(PATIENCE_S, TimeUnit.SECONDS);
         assertEquals(List.of("served"), other);
+        assertEquals("0\txxxx\n", new String(rows.join(), StandardCharsets.UTF_8));
         assertEquals(2, got.size());
         assertEquals(2, rig.count("get"));
     }
--- a/src/test/java/calicostream/flight/suite/Script.java
+++ b/src/test/java/calicostream/flight/suite/Script.java
@@ -24,6 +24,8 @@
         DRAINS,
         BAD_PROTOBUF,
         BAD_ARROW,
+        BAD_SCHEMA,
+        BAD_BODY,
         HANGS,
         CUT_AT_END
     }
