A rejection by an engine that has answered proves nothing

Callers saw (not met in production): a load whose engine sent the first page of its result and then WAIT ran at another engine; with PAST its client was told that it never ran. Cause: RespResponseHandler took every rejection for a proof. Found by the search for other outcomes that claim "never ran". Evidence: RaceConditionTest.loadIsNotSentAgainAfterEngineRejectsWhatItHasAnswered on: red, the other engine is asked (WAIT), "rejected" (PAST). Change: after the first page a rejection ends the attempt as an error, which may have run. Measured: RaceConditionTest green.

--- a/src/main/java/calicostream/platform/RespResponseHandler.java
+++ b/src/main/java/calicostream/platform/RespResponseHandler.java
@@ -63,13 +63,13 @@
                 furtherPage(call, page, response[3]);
                 break;
             case "WAIT":
-                connection.end(call, AttemptOutcome.OVERLOADED, null);
+                connection.end(call, unlessAnswered(call, AttemptOutcome.OVERLOADED), null);
                 break;
             case "BROKE":
                 connection.end(call, AttemptOutcome.ERROR, null);
                 break;
             case "PAST":
-                connection.end(call, AttemptOutcome.NOT_STARTED, null);
+                connection.end(call, unlessAnswered(call, AttemptOutcome.NOT_STARTED), null);
                 break;
             case "TELL":
                 progress(call, fields);
@@ -79,6 +79,11 @@
         }
     }
 
+    /** An engine that has sent the first page of a result has run the call, whatever it says. */
+    private static AttemptOutcome unlessAnswered(RespCall call, AttemptOutcome neverRan) {
+        return call.pages() == null ? neverRan : AttemptOutcome.ERROR;
+    }
+
     /** Handles a probe's response; that of an unfit engine may include a load report, too. */
     private void probeAnswered(RespLoadProbe probe, byte[][] response)
             throws InvalidInputException {
--- a/src/test/java/calicostream/platform/RaceConditionTest.java
+++ b/src/test/java/calicostream/platform/RaceConditionTest.java
@@ -241,6 +241,27 @@
         }
     }
 
+    /** The rejection counted as a proof that the load had not run, and another engine got it. */
+    @ParameterizedTest
+    @ValueSource(strings = {"WAIT", "PAST"})
+    void loadIsNotSentAgainAfterEngineRejectsWhatItHasAnswered(String rejection) throws Exception {
+        try (FakeRespEngine otherEngine = new FakeRespEngine()) {
+            RecordingResponseHandler handler = new RecordingResponseHandler();
+            harness.addEngine(ENGINE_ID, engine.address());
+            harness.runOnLoop(
+                    () -> {
+                        harness.acceptRequest(handler, NON_IDEMPOTENT_CLASS, 1);
+                        return null;
+                    });
+            assertTrue(engine.command().startsWith("REQ|" + requestId(1)));
+            harness.addEngine(OTHER_ENGINE_ID, otherEngine.address());
+            engine.answer(requestId(1) + "|DONE|sheets=2|row\n");
+            engine.answer(requestId(1) + "|" + rejection + "|-|");
+            assertEquals("failed", handler.awaitOutcome());
+            assertEquals(0, otherEngine.connections(), "no other engine is asked");
+        }
+    }
+
     /** The client leaves while its request waits for a slow connect to the engine. */
     @Test
     void connectDoesNotSendRequestOfGoneClient() throws Exception {
