RESOURCE_EXHAUSTED proves nothing for a call repeated by key, without its trailer

Callers saw (not met in production): a call repeated by key was sent to further gRPC engines after its time for repeats, and could be told to come again as if it had not run. Cause: GrpcStatuses asked for calicostream-never-ran for classes that run once alone. Engines also end a query with this status that ran out of memory in its middle. Change: the proof is needed unless the request may run again on any engine (Request.isIdempotent).

--- a/src/main/java/calicostream/core/Request.java
+++ b/src/main/java/calicostream/core/Request.java
@@ -131,6 +131,11 @@
                 || queryClassSettings.idempotency() == Idempotency.NON_IDEMPOTENT;
     }
 
+    /** Returns whether the request may run again on any engine. */
+    public boolean isIdempotent() {
+        return stickyEngine() == 0 && queryClassSettings.idempotency() == Idempotency.IDEMPOTENT;
+    }
+
     /**
      * Returns whether the client may send the request again, to any front end, even if it may have
      * run.
--- a/src/main/java/calicostream/flight/engine/EngineCall.java
+++ b/src/main/java/calicostream/flight/engine/EngineCall.java
@@ -164,7 +164,7 @@
     }
 
     AttemptOutcome outcome(Status status) {
-        return GrpcStatuses.outcomeOf(status, trailers.get(), attempt.request().isNonIdempotent());
+        return GrpcStatuses.outcomeOf(status, trailers.get(), attempt.request().isIdempotent());
     }
 
     final boolean isOwnWord(Status status) {
--- a/src/main/java/calicostream/grpc/AttemptResponse.java
+++ b/src/main/java/calicostream/grpc/AttemptResponse.java
@@ -56,7 +56,7 @@
         if (status.isOk()) {
             return AttemptOutcome.OK;
         }
-        return GrpcStatuses.outcomeOf(status, trailers, attempt.request().isNonIdempotent());
+        return GrpcStatuses.outcomeOf(status, trailers, attempt.request().isIdempotent());
     }
 
     /** The engine's final status, or null while it has sent none. */
--- a/src/main/java/calicostream/grpc/GrpcStatuses.java
+++ b/src/main/java/calicostream/grpc/GrpcStatuses.java
@@ -45,18 +45,18 @@
 
     /**
      * The outcome that the status of a failed call proves. An engine that runs out of memory in the
-     * middle of a query also ends it as RESOURCE_EXHAUSTED, so for a non-idempotent query that
-     * means "overloaded" only with the trailer {@link #NEVER_RAN}.
+     * middle of a query also ends it as RESOURCE_EXHAUSTED. For a query that not every engine may
+     * run again, that means "overloaded" only with the trailer {@link #NEVER_RAN}.
      *
      * @param trailers the call's trailers, or null
+     * @param isIdempotent whether the query may run again on any engine
      */
-    public static AttemptOutcome outcomeOf(
-            Status status, Metadata trailers, boolean isNonIdempotent) {
+    public static AttemptOutcome outcomeOf(Status status, Metadata trailers, boolean isIdempotent) {
         switch (status.getCode()) {
             case RESOURCE_EXHAUSTED:
-                return isNonIdempotent && !provesNeverRan(trailers)
-                        ? AttemptOutcome.ERROR
-                        : AttemptOutcome.OVERLOADED;
+                return isIdempotent || provesNeverRan(trailers)
+                        ? AttemptOutcome.OVERLOADED
+                        : AttemptOutcome.ERROR;
             case DEADLINE_EXCEEDED:
                 return AttemptOutcome.TIMEOUT;
             case CANCELLED:
--- a/src/test/java/calicostream/grpc/BalancingChannelTest.java
+++ b/src/test/java/calicostream/grpc/BalancingChannelTest.java
@@ -44,7 +44,7 @@
                     .setResponseMarshaller(ProtoUtils.marshaller(StringValue.getDefaultInstance()))
                     .build();
     private static final String SETTINGS =
-            "lanes.count=2\n"
+            "lanes.count=3\n"
                     + "lanes.0.name=look\n"
                     + "lanes.0.effect=repeatable\n"
                     + "lanes.0.aim_us=4000000\n"
@@ -53,9 +53,14 @@
                     + "lanes.1.effect=once\n"
                     + "lanes.1.aim_us=4000000\n"
                     + "lanes.1.deadline_us=9000000\n"
+                    + "lanes.2.name=keyed\n"
+                    + "lanes.2.effect=by_key\n"
+                    + "lanes.2.aim_us=4000000\n"
+                    + "lanes.2.deadline_us=9000000\n"
+                    + "lanes.2.window_us=1\n"
                     + "family_info.kind_cores=12\n"
-                    + "family_info.holds_tables=false,true\n"
-                    + "family_info.width_by_class=1,2\n"
+                    + "family_info.holds_tables=false,true,false\n"
+                    + "family_info.width_by_class=1,2,1\n"
                     + "ceilings.max_attempts=3\n"
                     + "ceilings.cancel=true\n"
                     + "ceilings.dial_timeout_us=5000000\n"
@@ -154,6 +159,18 @@
         assertEquals(3, runs.get());
     }
 
+    /** Counted as a proof that the call had not run, so that it was sent to another engine. */
+    @Test
+    void keyedCallIsNotRetriedAfterItsWindowWithoutAProofThatItNeverRan() throws Exception {
+        UnaryOperator<String> outOfMemory =
+                x -> {
+                    throw Status.RESOURCE_EXHAUSTED.asRuntimeException();
+                };
+        start(List.of(outOfMemory, outOfMemory));
+        assertThrows(StatusRuntimeException.class, () -> call("keyed", 8000));
+        assertEquals(1, runs.get());
+    }
+
     @Test
     void callWithoutEnginesIsRejectedWithRetryAfter() throws Exception {
         start(List.of());
