The end of an upload without rows reaches its engine however early it comes

Callers saw: no answer until the deadline to an upload (DoPut CommandStatementIngest) that ended right after its schema. Cause: the end came on gRPC's thread before the loop had begun the upload, was posted to the loop, and DoPutHandler.end handled prepared statements alone. Change: DoPutHandler.end passes the end on where the upload has begun. Measured: HardCasesTest green.

--- a/src/main/java/calicostream/flight/front/DoPutHandler.java
+++ b/src/main/java/calicostream/flight/front/DoPutHandler.java
@@ -39,7 +39,6 @@
     private Any command;
     private String name = "";
     private final AtomicLong here = new AtomicLong();
-    private boolean ended;
 
     DoPutHandler(
             RequestDispatcher desk,
@@ -221,10 +220,13 @@
     }
 
     private void end() {
-        ended = true;
         if (call.isAnswered()) {
             return;
         }
+        if (upload != null) { // It began after the end had arrived on gRPC's thread.
+            upload.end();
+            return;
+        }
         if (command == null) {
             throw CommandDecoder.invalid("nothing was put");
         }
@@ -423,8 +425,5 @@
                 txn == null ? 0 : txn.engine,
                 txn == null ? answer : transactions.within(txn, false, answer));
         call.atEnd(rows::drop);
-        if (ended) {
-            rows.end();
-        }
     }
 }
--- a/src/test/java/calicostream/flight/suite/HardCasesTest.java
+++ b/src/test/java/calicostream/flight/suite/HardCasesTest.java
@@ -712,6 +712,20 @@
         assertEquals(1, rig.count("put"), "never on another engine");
     }
 
+    /** The end arrived before the upload had begun, and was not passed on to the engine. */
+    @Test
+    void uploadWithoutRowsWhoseEndComesAtOnceIsServed() throws Exception {
+        start(1);
+        for (int i = 0; i < 20; i++) {
+            CompletableFuture<String> end = new CompletableFuture<>();
+            StreamObserver<Flight.FlightData> up = put(end);
+            up.onNext(schema());
+            up.onCompleted();
+            assertEquals("ok 0", end.get(PATIENCE_S, TimeUnit.SECONDS));
+        }
+        assertEquals(20, rig.count("ingest"));
+    }
+
     /** The load ran at the engine that died and again at another, as no row had gone out. */
     @Test
     void uploadWithoutRowsWhoseEngineDiesAtItsEndRunsOnce() throws Exception {
