Rig: relays have an address of their own, and voters lose entries before they are killed

The test waited until four more entries were applied than a status said that may be 100 ms old, so the copied folder could hold all of them, and the voter was rightly not barred. The port clash of KNOWN-RED has its trace, too: a relay may get a member's port, as both are drawn from one address. Change: both tests wait until four entries are applied that were not even stored in a status later than the switch: stricter, as the wait now proves the loss that it stands for. Nothing of what the tests assert is changed. Relays are bound to another loopback address, and a member's port is held until all are found. Not played 100 times beside load, so both entries of KNOWN-RED stay, with what was changed.

--- a/src/measure/java/calicostream/rig/ClusterFleet.java
+++ b/src/measure/java/calicostream/rig/ClusterFleet.java
@@ -80,24 +80,23 @@
         load = new LoadGenerator(history, askEveryMs);
         relays = new LinkProxies();
         resource = new FakeFencedResource(history);
-        InetAddress own = ownAddress();
-        for (int i = 1; i <= plan.members(); i++) {
-            addresses.add(free(own));
-        }
+        addresses.addAll(freeAddresses(ownAddress(), plan.members()));
+        InetAddress relayAddress = ownAddress();
         for (int from = 1; plan.clustered() && from <= plan.members(); from++) {
             for (int to = 1; to <= plan.members(); to++) {
                 if (from != to) {
                     links.put(
                             key(from, to),
-                            relays.open(new InetSocketAddress(own, 0), addresses.get(to - 1)));
+                            relays.open(
+                                    new InetSocketAddress(relayAddress, 0), addresses.get(to - 1)));
                 }
             }
         }
     }
 
     /**
-     * A loopback address of this rig alone, so that a port that was free stays free until a member
-     * takes it.
+     * A loopback address for one use alone. Nothing but members listens on theirs, so that a port
+     * that was free stays free until a member takes it.
      */
     private static InetAddress ownAddress() throws IOException {
         Random random = new Random(ProcessHandle.current().pid() * 31 + System.nanoTime());
@@ -110,10 +109,17 @@
                 });
     }
 
-    private static InetSocketAddress free(InetAddress at) throws IOException {
-        try (ServerSocket probe = new ServerSocket(0, 1, at)) {
-            return new InetSocketAddress(at, probe.getLocalPort());
+    /** Ports that are free, all of them held until the last is found, so that none comes twice. */
+    private static List<InetSocketAddress> freeAddresses(InetAddress at, int count)
+            throws IOException {
+        List<InetSocketAddress> free = new ArrayList<>();
+        if (count > 0) {
+            try (ServerSocket probe = new ServerSocket(0, 1, at)) {
+                free.addAll(freeAddresses(at, count - 1));
+                free.add(new InetSocketAddress(at, probe.getLocalPort()));
+            }
         }
+        return free;
     }
 
     private static int key(int from, int to) {
--- a/src/test/java/calicostream/rig/MembersTest.java
+++ b/src/test/java/calicostream/rig/MembersTest.java
@@ -244,8 +244,7 @@
         fleet.proc(voter).signal("STOP");
         DirectoryCopy.copy(fleet.data(voter), older); // As it would be found after a crash.
         fleet.proc(voter).signal("CONT");
-        long seen = fleet.signs(voter).getLong("applied", 0);
-        fleet.awaitSigns(voter, "more of the log", signs -> signs.getLong("applied", 0) > seen + 3);
+        awaitNewEntries(voter);
         fleet.kill(voter);
         DirectoryCopy.delete(fleet.data(voter));
         DirectoryCopy.copy(older, fleet.data(voter));
@@ -258,9 +257,8 @@
     void diskThatForgetsWhatItSaidItKeptDoesNotVoteUntilItIsReplaced() throws Exception {
         int leader = fleet.awaitLeader(VOTERS);
         int voter = others(VOTERS, leader).get(1);
-        long seen = fleet.signs(voter).getLong("applied", 0);
         fleet.disk(voter, FaultInjectingDisks.Lie.FORGETS, 0);
-        fleet.awaitSigns(voter, "more of the log", signs -> signs.getLong("applied", 0) > seen + 3);
+        awaitNewEntries(voter);
         fleet.kill(voter);
         fleet.disk(voter, FaultInjectingDisks.Lie.HONEST, 0);
         fleet.start(voter);
@@ -268,6 +266,24 @@
         assertServedThroughout(others(voter));
     }
 
+    /**
+     * Waits until the voter has applied entries that it had not even stored at the call. The status
+     * read first may be older than the call; one that differs from it is not.
+     */
+    private void awaitNewEntries(int voter) throws Exception {
+        long before = lastIndex(fleet.signs(voter));
+        long stored =
+                lastIndex(
+                        fleet.awaitSigns(
+                                voter, "a later status", signs -> lastIndex(signs) > before));
+        fleet.awaitSigns(
+                voter, "more of the log", signs -> signs.getLong("applied", 0) > stored + 3);
+    }
+
+    private static long lastIndex(JsonObject signs) {
+        return signs.get("disk").asObject().getLong("last_index", 0);
+    }
+
     /**
      * Barred, it is in its session, and comes back as the operators' page says for a member whose
      * folder forgot.
