Rig: the history that was seen complete is the one that is judged

Change: one copy for both, and it must hold a later request of each front end. A front end's requests are recorded one after another, so none of the window can be missing: no less is asserted.

--- a/src/test/java/calicostream/rig/MembersTest.java
+++ b/src/test/java/calicostream/rig/MembersTest.java
@@ -87,12 +87,8 @@
     /** What these front ends were asked since the test began was served, as soon as ever. */
     private void assertServedThroughout(Set<Integer> fronts) throws Exception {
         long now = System.nanoTime();
-        Await.until(
-                () ->
-                        new OperationHistoryChecker(history.copy()).ended(fronts, begun, now, null)
-                                == 0,
-                () -> "some were not answered");
-        OperationHistoryChecker judge = new OperationHistoryChecker(history.copy());
+        OperationHistory.All complete = awaitComplete(fronts, now);
+        OperationHistoryChecker judge = new OperationHistoryChecker(complete);
         List<Long> waits = judge.waits(fronts, begun, now);
         assertTrue(waits.size() > 10, waits.size() + " answers");
         assertTrue(
@@ -109,6 +105,37 @@
         assertEquals(1.0, judge.served(fronts, begun, now), 0.0, "share served");
     }
 
+    /**
+     * Waits until no request up to a time is open, and none can still be added: a request is
+     * recorded after it was written, before the next one of its front end.
+     *
+     * @return the history as it was then
+     */
+    private OperationHistory.All awaitComplete(Set<Integer> fronts, long until) throws Exception {
+        OperationHistory.All[] last = new OperationHistory.All[1];
+        Await.until(
+                () -> {
+                    last[0] = history.copy();
+                    return isAskedSince(last[0], fronts, until)
+                            && new OperationHistoryChecker(last[0])
+                                            .ended(fronts, begun, until, null)
+                                    == 0;
+                },
+                () -> "some were not answered");
+        return last[0];
+    }
+
+    private static boolean isAskedSince(OperationHistory.All all, Set<Integer> fronts, long since) {
+        return fronts.stream()
+                .allMatch(
+                        front ->
+                                all.asked().stream()
+                                        .anyMatch(
+                                                each ->
+                                                        each.front() == front
+                                                                && each.at() > since));
+    }
+
     @Test
     void leaderCutOffFromItsVotersServesItsClients() throws Exception {
         int leader = fleet.awaitLeader(VOTERS);
