--- a/review/stand-ins-2/FlightClient.java
+++ b/review/stand-ins-2/FlightClient.java
@@ -220,6 +220,49 @@
         return out.end;
     }
 
+    /** Prepares a statement; its handle, or null. */
+    ByteString prepare(String sql) throws Exception {
+        End made =
+                action(
+                                "prepare '" + sql + "'",
+                                "CreatePreparedStatement",
+                                packed(
+                                        FlightSql.ActionCreatePreparedStatementRequest.newBuilder()
+                                                .setQuery(sql)
+                                                .build()),
+                                10_000)
+                        .get();
+        List<?> results = (List<?>) made.value();
+        return results.isEmpty()
+                ? null
+                : Any.parseFrom(((Flight.Result) results.get(0)).getBody())
+                        .unpack(FlightSql.ActionCreatePreparedStatementResult.class)
+                        .getPreparedStatementHandle();
+    }
+
+    /** Runs a prepared update once for each row of parameters. */
+    CompletableFuture<End> updatePrepared(
+            ByteString handle, List<Flight.FlightData> rows, long deadlineMillis) {
+        Collector<Flight.FlightData, Flight.PutResult> out =
+                new Collector<>("prepared update", deadlineMillis, 0, List::size);
+        StreamObserver<Flight.FlightData> put = stub(deadlineMillis).doPut(out);
+        for (int i = 0; i < rows.size(); i++) {
+            put.onNext(
+                    i > 0
+                            ? rows.get(i)
+                            : rows.get(i).toBuilder()
+                                    .setFlightDescriptor(
+                                            descriptor(
+                                                    FlightSql.CommandPreparedStatementUpdate
+                                                            .newBuilder()
+                                                            .setPreparedStatementHandle(handle)
+                                                            .build()))
+                                    .build());
+        }
+        put.onCompleted();
+        return out.end;
+    }
+
     /** An action; the end's value is the list of results. */
     CompletableFuture<End> action(String what, String type, ByteString body, long deadlineMillis) {
         Collector<Flight.Action, Flight.Result> out =
--- a/review/stand-ins-2/FlightEngine.java
+++ b/review/stand-ins-2/FlightEngine.java
@@ -7,16 +7,21 @@
 import com.google.protobuf.Message;
 import io.grpc.Server;
 import io.grpc.Status;
+import io.grpc.StatusRuntimeException;
 import io.grpc.netty.NettyServerBuilder;
 import io.grpc.stub.ServerCallStreamObserver;
 import io.grpc.stub.StreamObserver;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.ConcurrentSkipListSet;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -43,8 +48,11 @@
     private final ConcurrentHashMap<String, Long> delays = new ConcurrentHashMap<>();
     private final Set<String> tables = new ConcurrentSkipListSet<>();
     private final Set<String> transactions = ConcurrentHashMap.newKeySet();
+    private final Map<String, String> prepared = new ConcurrentHashMap<>();
+    private final Map<Integer, Integer> points = new ConcurrentSkipListMap<>();
     private final TreeMap<String, Long> lastArrival = new TreeMap<>();
     private int begun;
+    private int made;
 
     FlightEngine(Rig rig, String name) throws IOException {
         this.rig = rig;
@@ -71,6 +79,11 @@
         return transactions.size();
     }
 
+    /** Players and their points; a prepared update adds one point for each row's player. */
+    Map<Integer, Integer> points() {
+        return points;
+    }
+
     Set<String> tables() {
         return tables;
     }
@@ -190,51 +203,41 @@
 
         @Override
         public StreamObserver<Flight.FlightData> doPut(StreamObserver<Flight.PutResult> out) {
-            return new StreamObserver<>() {
-                private String sql = "";
-
-                @Override
-                public void onNext(Flight.FlightData data) {
-                    if (data.hasFlightDescriptor()) {
-                        sql =
-                                unpack(
-                                                any(data.getFlightDescriptor().getCmd()),
-                                                FlightSql.CommandStatementUpdate.class)
-                                        .getQuery();
-                        arrived(PUT, sql);
-                    }
-                }
-
-                @Override
-                public void onError(Throwable error) {}
-
-                @Override
-                public void onCompleted() {
-                    after(PUT, this::run);
-                }
-
-                private void run() {
-                    if (sql.startsWith("create table ")) {
-                        tables.add(sql.split(" ")[2]);
-                    }
-                    rig.note(name, PUT + " done and answered: " + sql);
-                    out.onNext(
-                            Flight.PutResult.newBuilder()
-                                    .setAppMetadata(
-                                            FlightSql.DoPutUpdateResult.newBuilder()
-                                                    .setRecordCount(1)
-                                                    .build()
-                                                    .toByteString())
-                                    .build());
-                    out.onCompleted();
-                }
-            };
+            return new Put(out);
         }
 
         @Override
         public void doAction(Flight.Action request, StreamObserver<Flight.Result> out) {
             String type = request.getType();
-            if (type.equals("BeginTransaction")) {
+            if (type.equals("CreatePreparedStatement")) {
+                String handle = "p" + ++made + "@" + name;
+                prepared.put(
+                        handle,
+                        unpack(
+                                        any(request.getBody()),
+                                        FlightSql.ActionCreatePreparedStatementRequest.class)
+                                .getQuery());
+                one(
+                        type,
+                        handle,
+                        out,
+                        result(
+                                FlightSql.ActionCreatePreparedStatementResult.newBuilder()
+                                        .setPreparedStatementHandle(
+                                                ByteString.copyFromUtf8(handle))
+                                        .setParameterSchema(Rows.parameterBytes())
+                                        .build()));
+            } else if (type.equals("ClosePreparedStatement")) {
+                String handle =
+                        unpack(
+                                        any(request.getBody()),
+                                        FlightSql.ActionClosePreparedStatementRequest.class)
+                                .getPreparedStatementHandle()
+                                .toStringUtf8();
+                arrived(type, handle);
+                prepared.remove(handle);
+                out.onCompleted();
+            } else if (type.equals("BeginTransaction")) {
                 String handle = "t" + ++begun + "@" + name;
                 transactions.add(handle);
                 one(
@@ -270,6 +273,100 @@
         }
     }
 
+    /** An update of a client: plain, or prepared with rows of parameters. */
+    private final class Put implements StreamObserver<Flight.FlightData> {
+        private final StreamObserver<Flight.PutResult> out;
+        private final List<Flight.FlightData> frames = new ArrayList<>();
+        private Any command;
+
+        Put(StreamObserver<Flight.PutResult> out) {
+            this.out = out;
+        }
+
+        @Override
+        public void onNext(Flight.FlightData data) {
+            if (data.hasFlightDescriptor()) {
+                command = any(data.getFlightDescriptor().getCmd());
+                arrived(PUT, isPrepared() ? "of " + handle() : sql());
+            }
+            if (!data.getDataHeader().isEmpty()) {
+                frames.add(data);
+            }
+        }
+
+        private boolean isPrepared() {
+            return command.is(FlightSql.CommandPreparedStatementUpdate.class);
+        }
+
+        private String sql() {
+            return unpack(command, FlightSql.CommandStatementUpdate.class).getQuery();
+        }
+
+        private String handle() {
+            return unpack(command, FlightSql.CommandPreparedStatementUpdate.class)
+                    .getPreparedStatementHandle()
+                    .toStringUtf8();
+        }
+
+        @Override
+        public void onError(Throwable error) {}
+
+        @Override
+        public void onCompleted() {
+            after(
+                    PUT,
+                    () -> {
+                        try {
+                            long rows = isPrepared() ? award() : run();
+                            rig.note(name, PUT + " done and answered");
+                            out.onNext(
+                                    Flight.PutResult.newBuilder()
+                                            .setAppMetadata(
+                                                    FlightSql.DoPutUpdateResult.newBuilder()
+                                                            .setRecordCount(rows)
+                                                            .build()
+                                                            .toByteString())
+                                            .build());
+                            out.onCompleted();
+                        } catch (StatusRuntimeException e) {
+                            rig.note(name, PUT + " answered: " + e.getStatus());
+                            out.onError(e);
+                        } catch (IOException e) {
+                            out.onError(Status.INTERNAL.asRuntimeException());
+                        }
+                    });
+        }
+
+        private long run() {
+            String sql = sql();
+            if (sql.startsWith("create table ")) {
+                tables.add(sql.split(" ")[2]);
+            }
+            rig.note(name, "ran: " + sql);
+            return 1;
+        }
+
+        /** Row after row, each for itself, as without a transaction. */
+        private long award() throws IOException {
+            if (!prepared.containsKey(handle())) {
+                throw Status.NOT_FOUND.withDescription("no such statement").asRuntimeException();
+            }
+            List<String> players = Rows.column(frames, "p0");
+            for (String player : players) {
+                int number = Integer.parseInt(player);
+                if (!points.containsKey(number)) {
+                    throw Status.NOT_FOUND
+                            .withDescription("no player " + number)
+                            .asRuntimeException();
+                }
+                rig.note(
+                        name,
+                        "player " + number + " now has " + points.merge(number, 1, Integer::sum));
+            }
+            return players.size();
+        }
+    }
+
     @Override
     public void close() {
         server.shutdownNow();
--- a/review/stand-ins-2/Rows.java
+++ b/review/stand-ins-2/Rows.java
@@ -74,6 +74,33 @@
         return messages(ipc.toByteArray());
     }
 
+    /** The schema of one number as a statement's parameter. */
+    private static final Schema PARAMETER =
+            new Schema(
+                    List.of(
+                            new Field("p0", FieldType.nullable(new ArrowType.Int(32, true)), null)));
+
+    static ByteString parameterBytes() {
+        return ByteString.copyFrom(PARAMETER.serializeAsMessage());
+    }
+
+    /** Rows of one parameter each. */
+    static List<Flight.FlightData> parameters(int... values) {
+        ByteArrayOutputStream ipc = new ByteArrayOutputStream();
+        try (VectorSchemaRoot root = VectorSchemaRoot.create(PARAMETER, ALLOCATOR);
+                ArrowStreamWriter writer = new ArrowStreamWriter(root, null, ipc)) {
+            for (int i = 0; i < values.length; i++) {
+                ((IntVector) root.getVector(0)).setSafe(i, values[i]);
+            }
+            root.setRowCount(values.length);
+            writer.writeBatch();
+            writer.end();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return messages(ipc.toByteArray());
+    }
+
     /** The table catalog. */
     static List<Flight.FlightData> tables(Collection<String> names) {
         ByteArrayOutputStream ipc = new ByteArrayOutputStream();
