--- a/review/stand-ins-2/Rig.java
+++ b/review/stand-ins-2/Rig.java
@@ -22,9 +22,10 @@
  * deploy file's command. Ends all that it started.
  */
 final class Rig implements AutoCloseable {
-    static final int HELD = 0;
-    static final int BROKEN = 1;
-    static final int CANNOT_RUN = 2;
+    // The script turns these into its own: Java itself ends with 1 where it can't start.
+    static final int HELD = 10;
+    static final int BROKEN = 11;
+    static final int CANNOT_RUN = 12;
     private static final long LONGEST_RUN_SECONDS = 110;
     private static final long READY_MILLIS = 30_000;
 
@@ -60,7 +61,7 @@
                 rig.note("case", "could not run: " + e);
                 e.printStackTrace();
             }
-            rig.note("case", "exit code " + code);
+            rig.note("case", "exit code " + (code - HELD));
         } catch (Exception e) {
             e.printStackTrace();
         }
