--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,6 +5,7 @@
 rm -rf target/review-2
 mkdir -p target/review-2
 sources=$(ls review/stand-ins-2/*.java)
+[ -d review/seen-2 ] && sources="$sources $(ls review/seen-2/*.java)"
 for number in 6 7 8 9 10; do
     for source in review/"$number"/*.java; do
         [ -e "$source" ] && sources="$sources $source"
