A prepared load that its engine failed with NOT_FOUND is not sent again

Cause: UpdateCall took each NOT_FOUND on a lent handle for a handle that the engine has forgotten, and PreparedStatementLease.again sent the rows again within the attempt, where no rule on repeats is asked. NOT_FOUND proves nothing: an engine tells it of what it meets after it began, too.

Change: within an attempt a statement goes out again only if its request may run again on any engine, if the engine's trailer calicostream-never-ran proves that nothing ran, or if the failed call only bound parameters. The same for prepared queries in transactions and of classes that run once, and for the plan after a poll that ended UNIMPLEMENTED. A handle that was not known drops the others of that engine, so that the next execution makes one.

HardCasesTest, ClientsTest, ConformanceTest green.

--- a/src/main/java/calicostream/flight/engine/EngineCall.java
+++ b/src/main/java/calicostream/flight/engine/EngineCall.java
@@ -167,6 +167,15 @@
         return GrpcStatuses.outcomeOf(status, trailers.get(), attempt.request().isIdempotent());
     }
 
+    /**
+     * Whether the engine may be sent the statement again within this attempt, after it has failed a
+     * call that asked it to run the statement. The status alone proves nothing: an engine may tell
+     * any of them of something that it met after it had begun.
+     */
+    final boolean mayRunAgain() {
+        return attempt.request().isIdempotent() || GrpcStatuses.provesNeverRan(trailers.get());
+    }
+
     final boolean isOwnWord(Status status) {
         boolean passed =
                 engines.config.passTokens() && status.getCode() == Status.Code.UNAUTHENTICATED;
--- a/src/main/java/calicostream/flight/engine/PollCall.java
+++ b/src/main/java/calicostream/flight/engine/PollCall.java
@@ -13,7 +13,8 @@
 
 /**
  * A long query that the engine tells the progress of: asked again until it is done, its news handed
- * to the module as notes. An engine that knows no polling is asked for the plan at once.
+ * to the module as notes. An engine that knows no polling is asked for the plan at once. So is each
+ * engine where the query must not run twice: UNIMPLEMENTED does not prove that a poll ran nothing.
  */
 final class PollCall extends EngineCall {
     private static final long AT_ONCE = 10_000;
@@ -32,7 +33,11 @@
     @Override
     void begin() {
         next = FlightWire.descriptor(work.command());
-        ask();
+        if (attempt.request().isIdempotent()) {
+            ask();
+        } else {
+            plan();
+        }
     }
 
     private void ask() {
--- a/src/main/java/calicostream/flight/engine/PreparedStatementLease.java
+++ b/src/main/java/calicostream/flight/engine/PreparedStatementLease.java
@@ -18,14 +18,15 @@
 
 /**
  * An engine's handle of a prepared statement for the length of one attempt: lent by the statement,
- * or made. One that the engine does not know any more, as it has been restarted, is made again,
- * once: that proves that nothing ran.
+ * or made. A lent handle that the engine may have forgotten is replaced once, but only where the
+ * statement may run again: the failure alone does not prove that nothing ran.
  */
 public final class PreparedStatementLease {
     private final EngineCall call;
     private final EngineOperation.Bound bound;
     private ByteString handle;
     private boolean fresh;
+    private volatile boolean forgotten;
 
     PreparedStatementLease(EngineCall call, EngineOperation.Bound bound) {
         this.call = call;
@@ -73,18 +74,23 @@
     }
 
     /**
-     * Whether this failure may mean no more than that the engine has forgotten a lent handle: a new
-     * one is made.
+     * Replaces a lent handle that the engine may have forgotten, and runs this with the new one.
+     *
+     * @param mayRunAgain whether the statement may be sent again after this failure
+     * @return false if the failure ends the attempt
      */
-    boolean again(Status status, Consumer<ByteString> then) {
-        boolean forgotten =
+    boolean replaceForgotten(Status status, boolean mayRunAgain, Consumer<ByteString> then) {
+        boolean isUnknownHandle =
                 status.getCode() == Status.Code.NOT_FOUND
                         || status.getCode() == Status.Code.INVALID_ARGUMENT;
-        if (fresh || !forgotten) {
+        if (fresh || !isUnknownHandle) {
             return false;
         }
-        make(then);
-        return true;
+        forgotten = status.getCode() == Status.Code.NOT_FOUND;
+        if (mayRunAgain) {
+            make(then);
+        }
+        return mayRunAgain;
     }
 
     /**
@@ -129,6 +135,10 @@
 
     /** On the loop, at the attempt's end. */
     void end(AttemptOutcome outcome) {
+        if (forgotten) {
+            // The next execution makes a handle instead of trying the others one after another.
+            bound.statement().removeIdle(call.attempt.engine()).forEach(this::close);
+        }
         if (handle == null || handle.isEmpty()) {
             return;
         }
@@ -136,11 +146,14 @@
                 outcome == AttemptOutcome.OK
                         && bound.statement().release(call.attempt.engine(), handle);
         if (!good && outcome != AttemptOutcome.RESET) {
-            call.engines.tidy(
-                    call.attempt.engine(), FlightWire.CLOSE_PREPARED, closing(handle), false);
+            close(handle);
         }
     }
 
+    private void close(ByteString unused) {
+        call.engines.tidy(call.attempt.engine(), FlightWire.CLOSE_PREPARED, closing(unused), false);
+    }
+
     public static ByteString closing(ByteString handle) {
         return FlightWire.packed(
                 FlightSql.ActionClosePreparedStatementRequest.newBuilder()
--- a/src/main/java/calicostream/flight/engine/QueryCall.java
+++ b/src/main/java/calicostream/flight/engine/QueryCall.java
@@ -43,6 +43,8 @@
     private int nextTicket;
     private long reserved;
     private boolean hasSchema, flows;
+    // The engine may run the statement from its GetFlightInfo on.
+    private volatile boolean planned;
     private volatile EngineResult.Sink sink;
     private volatile long stalledSince;
     private volatile ClientCall<Flight.Ticket, FlightFrame> get;
@@ -108,6 +110,7 @@
     }
 
     private void planFor(ByteString what) {
+        planned = true;
         plan(
                 what,
                 new Step<>() {
@@ -131,7 +134,10 @@
         boolean whole = held.isEmpty() && !gate.isStreaming();
         if (lease == null
                 || !whole
-                || !lease.again(Status.fromThrowable(error), this::bindAndPlan)) {
+                || !lease.replaceForgotten(
+                        Status.fromThrowable(error),
+                        !planned || mayRunAgain(),
+                        this::bindAndPlan)) {
             super.failed(error);
         }
     }
--- a/src/main/java/calicostream/flight/engine/UpdateCall.java
+++ b/src/main/java/calicostream/flight/engine/UpdateCall.java
@@ -77,7 +77,8 @@
                         Status status = Status.fromThrowable(error);
                         if (lease == null
                                 || status.getCode() != Status.Code.NOT_FOUND
-                                || !lease.again(status, UpdateCall.this::put)) {
+                                || !lease.replaceForgotten(
+                                        status, mayRunAgain(), UpdateCall.this::put)) {
                             failed(error);
                         }
                     }
--- a/src/main/java/calicostream/flight/state/PreparedStatement.java
+++ b/src/main/java/calicostream/flight/state/PreparedStatement.java
@@ -52,7 +52,13 @@
 
     /** Drops the handles of an engine whose process has ended. */
     public void engineLost(long engine) {
-        idleHandles.remove(engine);
+        removeIdle(engine);
+    }
+
+    /** Removes and returns the idle handles of an engine; no execution uses them any more. */
+    public List<H> removeIdle(long engine) {
+        ArrayDeque<H> removed = idleHandles.remove(engine);
+        return removed == null ? List.of() : List.copyOf(removed);
     }
 
     /** Closes the statement; the returned handles have to be closed at their engines. */
--- a/src/main/java/calicostream/grpc/GrpcStatuses.java
+++ b/src/main/java/calicostream/grpc/GrpcStatuses.java
@@ -68,7 +68,12 @@
         }
     }
 
-    private static boolean provesNeverRan(Metadata trailers) {
+    /**
+     * Whether the engine states that the query never ran.
+     *
+     * @param trailers the call's trailers, or null
+     */
+    public static boolean provesNeverRan(Metadata trailers) {
         return trailers != null && "true".equals(trailers.get(NEVER_RAN));
     }
 
--- a/src/test/java/calicostream/flight/suite/FakeFlightEngine.java
+++ b/src/test/java/calicostream/flight/suite/FakeFlightEngine.java
@@ -206,8 +206,12 @@
     }
 
     private static <T> void fail(StreamObserver<T> out, Status status) {
+        fail(out, status, status.getCode() == Status.Code.RESOURCE_EXHAUSTED);
+    }
+
+    private static <T> void fail(StreamObserver<T> out, Status status, boolean neverRan) {
         Metadata trailers = new Metadata();
-        if (status.getCode() == Status.Code.RESOURCE_EXHAUSTED) {
+        if (neverRan) {
             trailers.put(NEVER, "true");
         }
         try {
@@ -227,6 +231,13 @@
             case ERRS:
                 fail(out, Status.INTERNAL.withDescription("scripted"));
                 return false;
+            case NOT_FOUND_AFTER_RUN:
+                did("update");
+                fail(out, Status.NOT_FOUND.withDescription("no player 999"));
+                return false;
+            case NOT_FOUND_NEVER_RAN:
+                fail(out, Status.NOT_FOUND.withDescription("no such statement"), true);
+                return false;
             case SLOW:
                 THREADS.schedule(answer, SLOW_MS, TimeUnit.MILLISECONDS);
                 return false;
@@ -463,6 +474,12 @@
                     out,
                     () -> {
                         String text = text(any(request.getCmd()));
+                        if (script.take("poll") == Act.UNIMPLEMENTED_AFTER_RUN) {
+                            did("update");
+                            throw Status.UNIMPLEMENTED
+                                    .withDescription("no such function")
+                                    .asRuntimeException();
+                        }
                         int polls = number(text, "polls", 2);
                         int now;
                         synchronized (FakeFlightEngine.this) {
--- /dev/null
+++ b/src/test/java/calicostream/flight/suite/PreparedStatementRepeatTest.java
@@ -0,0 +1,142 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.flight.suite;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import calicostream.flight.suite.Script.Act;
+import calicostream.grpc.GrpcStatuses;
+import io.grpc.ManagedChannel;
+import io.grpc.Metadata;
+import io.grpc.netty.NettyChannelBuilder;
+import io.grpc.stub.MetadataUtils;
+import java.nio.file.Path;
+import org.apache.arrow.flight.CallOption;
+import org.apache.arrow.flight.FlightInfo;
+import org.apache.arrow.flight.FlightRuntimeException;
+import org.apache.arrow.flight.FlightStatusCode;
+import org.apache.arrow.flight.FlightStream;
+import org.apache.arrow.flight.impl.FlightServiceGrpc;
+import org.apache.arrow.flight.sql.FlightSqlClient;
+import org.apache.arrow.flight.sql.FlightSqlClient.PreparedStatement;
+import org.apache.arrow.vector.VectorSchemaRoot;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What is sent again within one attempt after an engine's NOT_FOUND, and what is not. */
+class PreparedStatementRepeatTest {
+    @TempDir Path folder;
+    private final Script script = new Script();
+    private FlightHarness rig;
+
+    private FlightSqlClient start() throws Exception {
+        rig = new FlightHarness(script, 1, folder);
+        return rig.client();
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        rig.close();
+    }
+
+    private static FlightStatusCode codeOf(Runnable call) {
+        return assertThrows(FlightRuntimeException.class, call::run).status().code();
+    }
+
+    private static void fetch(FlightSqlClient client, PreparedStatement made, CallOption... as) {
+        FlightInfo info = made.execute(as);
+        try (FlightStream rows = client.getStream(info.getEndpoints().get(0).getTicket(), as)) {
+            while (rows.next()) {
+                rows.getRoot();
+            }
+        } catch (FlightRuntimeException e) {
+            throw e;
+        } catch (Exception e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    /** A load ran twice: NOT_FOUND of something else was taken for a forgotten handle. */
+    @Test
+    void preparedLoadThatFailsWithNotFoundIsNotSentAgain() throws Exception {
+        FlightSqlClient client = start();
+        try (PreparedStatement made = client.prepare("insert ?", FlightOperations.LOOKUP);
+                VectorSchemaRoot row = Data.bound(7)) {
+            made.setParameters(row);
+            script.next("put", Act.NOT_FOUND_AFTER_RUN);
+            assertEquals(
+                    FlightStatusCode.NOT_FOUND,
+                    codeOf(() -> made.executeUpdate(FlightOperations.LOAD)));
+            assertEquals(1, rig.count("update"), "runs");
+            assertEquals(1, made.executeUpdate(FlightOperations.LOAD));
+            assertEquals(2, rig.count("update"), "runs");
+        }
+    }
+
+    /** A query in a transaction was planned twice, and some engines run it then. */
+    @Test
+    void preparedQueryInATransactionThatFailsWithNotFoundIsNotSentAgain() throws Exception {
+        FlightSqlClient client = start();
+        FlightSqlClient.Transaction transaction = client.beginTransaction(FlightOperations.LOOKUP);
+        try (PreparedStatement made =
+                client.prepare("select rows=2", transaction, FlightOperations.LOOKUP)) {
+            script.next("info", Act.NOT_FOUND_AFTER_RUN);
+            assertEquals(
+                    FlightStatusCode.NOT_FOUND,
+                    codeOf(() -> fetch(client, made, FlightOperations.LOOKUP)));
+            assertEquals(1, rig.count("info"), "sent");
+        }
+    }
+
+    /** An engine that forgot a handle fails one execution at most. */
+    @Test
+    void preparedLoadRunsOnANewHandleAfterItsEngineForgotTheOld() throws Exception {
+        FlightSqlClient client = start();
+        try (PreparedStatement made = client.prepare("insert ?", FlightOperations.LOOKUP);
+                VectorSchemaRoot row = Data.bound(7)) {
+            made.setParameters(row);
+            rig.engines.get(0).forget();
+            assertEquals(
+                    FlightStatusCode.NOT_FOUND,
+                    codeOf(() -> made.executeUpdate(FlightOperations.LOAD)));
+            assertEquals(1, made.executeUpdate(FlightOperations.LOAD));
+            assertEquals(1, rig.count("update"), "runs");
+        }
+    }
+
+    /** With the engine's proof that nothing ran, the client does not notice a lost handle. */
+    @Test
+    void preparedLoadIsSentAgainWhereItsEngineProvesThatItNeverRan() throws Exception {
+        FlightSqlClient client = start();
+        try (PreparedStatement made = client.prepare("insert ?", FlightOperations.LOOKUP);
+                VectorSchemaRoot row = Data.bound(7)) {
+            made.setParameters(row);
+            script.next("put", Act.NOT_FOUND_NEVER_RAN);
+            assertEquals(1, made.executeUpdate(FlightOperations.LOAD));
+            assertEquals(1, rig.count("update"), "runs");
+        }
+    }
+
+    /**
+     * A query that runs once was planned after a poll whose engine failed it with UNIMPLEMENTED.
+     */
+    @Test
+    void pollOfAQueryThatRunsOnceIsNotFollowedByAPlan() throws Exception {
+        start();
+        script.next("poll", Act.UNIMPLEMENTED_AFTER_RUN);
+        ManagedChannel channel =
+                NettyChannelBuilder.forAddress("127.0.0.1", rig.port()).usePlaintext().build();
+        try {
+            Metadata headers = new Metadata();
+            headers.put(GrpcStatuses.QUERY_CLASS, "procedure");
+            FlightServiceGrpc.newBlockingStub(channel)
+                    .withInterceptors(MetadataUtils.newAttachHeadersInterceptor(headers))
+                    .pollFlightInfo(RawFlightClient.query("select rows=2 polls=1"));
+            FlightHarness.await("planned", () -> rig.count("info") == 1);
+            assertEquals(0, rig.count("update"), "runs before the plan");
+        } finally {
+            channel.shutdownNow();
+        }
+    }
+}
