A request with next to no time left no longer costs its engine a connection

Cause: RespConnection.cancel takes a connection out of use when nothing has come on it since the call was written; with 1 ms nothing can have come. The 32 connections of each engine were used up within 0.1 s, lingering in their close, and a call without a connection counts as the engine's OVERLOADED, for everybody.

Change: a connection is suspected only if its engine had 50 ms to respond.

--- a/src/main/java/calicostream/platform/RespConnection.java
+++ b/src/main/java/calicostream/platform/RespConnection.java
@@ -19,6 +19,9 @@
  * {@link RespResponseHandler} handles responses. Used by the event loop's thread only.
  */
 final class RespConnection implements Connection.Handler {
+    /** A connection on which no response has come after a shorter time is not suspected. */
+    private static final long MIN_RESPONSE_TIME_MICROS = 50_000;
+
     private static final Logger LOG = LoggerFactory.getLogger(RespConnection.class);
     private static final int BUFFER_BYTES = 128 * 1024;
 
@@ -189,7 +192,7 @@
 
     /**
      * Cancels a call. A connection that has received nothing since the call was written may be dead
-     * and accepts no further calls.
+     * and accepts no further calls, unless the engine had no time to respond.
      */
     void cancel(RespCall call) {
         if (!calls.remove(call.requestId(), call)) {
@@ -201,7 +204,8 @@
                 call.attempt().number(),
                 number);
         if (!unsentCalls.remove(call)) {
-            acceptsNoCalls |= lastReceivedAt < call.writtenAt();
+            boolean hadTime = context.now() - call.writtenAt() > MIN_RESPONSE_TIME_MICROS;
+            acceptsNoCalls |= hadTime && lastReceivedAt < call.writtenAt();
             writer.sendCancellation(call);
             staleIds.add(call.requestId());
         }
--- a/src/test/java/calicostream/wire/ServerProgram.java
+++ b/src/test/java/calicostream/wire/ServerProgram.java
@@ -21,6 +21,7 @@
  */
 public final class ServerProgram implements AutoCloseable {
     public static final long PATIENCE_MS = 20_000;
+    private static final int MAX_KEPT_CHARS = 100_000;
     private static final String SETTINGS =
             "{'balancers':1,'self_index':0,'az':0,'zones':['hall-a','hall-b'],"
                 + "'flavors':['std-12','std-8'],'tick_us':5000,'membership_mode':'automatic',"
@@ -40,6 +41,7 @@
     private final Process process;
     private final BufferedReader log;
     private final StringBuilder seen = new StringBuilder();
+    private long loggedLines;
 
     /** Engines as change-log entries; extra files go beside each other as the deploy folder. */
     public ServerProgram(
@@ -108,6 +110,34 @@
                 launch(folder, config, "/bin/sh", "-c", "trap '' HUP; exec \"$0\" \"$@\""));
     }
 
+    /**
+     * The program with the virtual machine's options of {@code run}, of which {@code instead}
+     * replaces some by others.
+     */
+    public static ServerProgram asDeployed(Path folder, Path config, Map<String, String> instead)
+            throws IOException {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        String options = run();
+        for (Map.Entry<String, String> each : instead.entrySet()) {
+            if (!options.contains(each.getKey())) {
+                throw new IOException("no such option: " + each.getKey());
+            }
+            options = options.replace(each.getKey(), each.getValue());
+        }
+        int first = options.indexOf(" -") + 1;
+        command.addAll(List.of(options.substring(first, options.indexOf(" -jar ")).split(" ")));
+        command.addAll(
+                List.of(
+                        "--add-opens=java.base/java.nio=ALL-UNNAMED",
+                        "-Dcalicostream.deploy=" + folder,
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "calicostream.Main",
+                        "serve"));
+        return new ServerProgram(start(command, folder, config));
+    }
+
     /** Writes the configuration file, also in place of an earlier one. */
     public static Path configure(
             Path folder, int port, int changelogPort, List<String> endpoints, int sockets)
@@ -142,12 +172,54 @@
                         System.getProperty("java.class.path"),
                         "calicostream.Main",
                         "serve"));
+        return start(command, folder, config);
+    }
+
+    private static Process start(List<String> command, Path folder, Path config)
+            throws IOException {
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
         builder.environment().put("NODE_CONFIG", config.toString());
         builder.environment().put("TMPDIR", folder.toString());
         return builder.start();
     }
 
+    /** Reads the log to its end, so that the program never waits for a reader. */
+    public void drainLog() {
+        FakePlatform.daemon(
+                () -> {
+                    for (String line = log.readLine(); line != null; line = log.readLine()) {
+                        keep(line);
+                    }
+                });
+    }
+
+    private synchronized void keep(String line) {
+        loggedLines++;
+        if (seen.length() < MAX_KEPT_CHARS) {
+            seen.append(line).append('\n');
+        }
+    }
+
+    /** Lines logged since {@link #drainLog}. */
+    public synchronized long loggedLines() {
+        return loggedLines;
+    }
+
+    /** The first part of the log. */
+    public synchronized String firstLines() {
+        return seen.toString();
+    }
+
+    /** The most memory that the process has held, in MB. */
+    public long peakMemoryMb() throws IOException {
+        for (String line : Files.readAllLines(Path.of("/proc/" + process.pid() + "/status"))) {
+            if (line.startsWith("VmHWM:")) {
+                return Long.parseLong(line.replaceAll("\\D", "")) / 1024;
+            }
+        }
+        throw new IOException("no peak");
+    }
+
     /** An engine's entry in an event of the change log. */
     public static String endpoint(
             String name, InetSocketAddress address, String status, long sinceMs) {
