--- a/src/main/java/calicostream/flight/transport/FrameRateLimiter.java
+++ b/src/main/java/calicostream/flight/transport/FrameRateLimiter.java
@@ -11,7 +11,8 @@
 /**
  * Reads a client's connection no faster than its frames may come, and not at all while the client
  * leaves its answers unread or others' messages have to become whole first. A client that floods
- * its connection waits, and costs the others no more than one at this rate.
+ * its connection waits, and costs the others no more than one at this rate; after a second of it
+ * the connection is closed.
  */
 final class FrameRateLimiter extends ChannelDuplexHandler {
     /** Frames that carry next to nothing, of one connection in a second. */
@@ -27,11 +28,14 @@
     private static final long MAX_UNREAD_BYTES = 256 * 1024;
 
     private static final long PAUSE_MILLIS = 20;
+    private static final long MAX_FLOOD_NANOS = 1_000_000_000;
+    private static final long NOT_FLOODING = Long.MIN_VALUE;
 
     private final FrameCosts costs = new FrameCosts();
     private final TokenBucket tokens = new TokenBucket(FRAMES_PER_SECOND, System.nanoTime());
 
     private final ClientConnection connection;
+    private long floodingSinceNanos = NOT_FLOODING;
     private boolean paused;
 
     FrameRateLimiter(ClientConnection connection) {
@@ -45,13 +49,29 @@
             tokens.charge(costs.of(bytes));
         }
         context.fireChannelRead(read);
-        if (!paused && mustPause(context)) {
+        if (floodsTooLong()) {
+            context.close();
+        } else if (!paused && mustPause(context)) {
             paused = true;
             context.channel().config().setAutoRead(false);
             resumeLater(context);
         }
     }
 
+    /**
+     * A close by the client is behind all that it has written: it must not stay unread for long.
+     */
+    private boolean floodsTooLong() {
+        long now = System.nanoTime();
+        boolean hasTokens = tokens.hasTokens(now);
+        if (tokens.isHalfFull()) {
+            floodingSinceNanos = NOT_FLOODING;
+        } else if (!hasTokens && floodingSinceNanos == NOT_FLOODING) {
+            floodingSinceNanos = now;
+        }
+        return floodingSinceNanos != NOT_FLOODING && now - floodingSinceNanos > MAX_FLOOD_NANOS;
+    }
+
     /** Netty's handler of HTTP/2 asks for more by itself where reads are not automatic. */
     @Override
     public void read(ChannelHandlerContext context) {
--- a/src/main/java/calicostream/flight/transport/TokenBucket.java
+++ b/src/main/java/calicostream/flight/transport/TokenBucket.java
@@ -33,4 +33,9 @@
         filledAtNanos = nowNanos;
         return tokens > 0;
     }
+
+    /** Whether at least half of the tokens are there, as of the last look. */
+    boolean isHalfFull() {
+        return tokens >= capacity / 2;
+    }
 }
--- a/src/main/java/calicostream/platform/RespCall.java
+++ b/src/main/java/calicostream/platform/RespCall.java
@@ -9,6 +9,9 @@
 final class RespCall implements AttemptContext {
     private static final int MAX_CONNECTIONS_TRIED = 2;
 
+    /** A connection on which no response has come after a shorter time is not suspected. */
+    private static final long MIN_RESPONSE_TIME_MICROS = 50_000;
+
     private final Attempt attempt;
     private RespConnection connection;
     private int connectionsTried;
@@ -49,6 +52,11 @@
         return writtenAt;
     }
 
+    /** Whether the engine had time to respond since the call was written. */
+    boolean isOverdue(long now) {
+        return now - writtenAt > MIN_RESPONSE_TIME_MICROS;
+    }
+
     void setWrittenAt(long now) {
         writtenAt = now;
     }
--- a/src/main/java/calicostream/platform/RespConnection.java
+++ b/src/main/java/calicostream/platform/RespConnection.java
@@ -19,9 +19,6 @@
  * {@link RespResponseHandler} handles responses. Used by the event loop's thread only.
  */
 final class RespConnection implements Connection.Handler {
-    /** A connection on which no response has come after a shorter time is not suspected. */
-    private static final long MIN_RESPONSE_TIME_MICROS = 50_000;
-
     private static final Logger LOG = LoggerFactory.getLogger(RespConnection.class);
     private static final int BUFFER_BYTES = 128 * 1024;
 
@@ -80,8 +77,7 @@
                         context.loop(), endpoint.address(), this, BUFFER_BYTES, BUFFER_BYTES);
         number = pool.opened(endpoint, this);
         writer = new RespRequestWriter(context, endpoint, connection, number);
-        context.schedule(
-                context.settings().dialTimeoutUs(), () -> closeUnless(connection.isConnected()));
+        context.schedule(context.settings().dialTimeoutUs(), () -> closeUnless(isConnected()));
     }
 
     boolean isConnected() {
@@ -191,8 +187,8 @@
     }
 
     /**
-     * Cancels a call. A connection that has received nothing since the call was written may be dead
-     * and accepts no further calls, unless the engine had no time to respond.
+     * Cancels a call. A connection that has received nothing since may be dead and accepts no
+     * further calls, unless the engine had no time to respond.
      */
     void cancel(RespCall call) {
         if (!calls.remove(call.requestId(), call)) {
@@ -204,8 +200,7 @@
                 call.attempt().number(),
                 number);
         if (!unsentCalls.remove(call)) {
-            boolean hadTime = context.now() - call.writtenAt() > MIN_RESPONSE_TIME_MICROS;
-            acceptsNoCalls |= hadTime && lastReceivedAt < call.writtenAt();
+            acceptsNoCalls |= call.isOverdue(context.now()) && lastReceivedAt < call.writtenAt();
             writer.sendCancellation(call);
             staleIds.add(call.requestId());
         }
@@ -270,7 +265,7 @@
 
     private void closeUnless(boolean isInUse) {
         if (!isInUse) {
-            connection.close();
+            close();
         }
     }
 
