A load that may have run is not sent again when its id comes again

Cause: an id was known only while its request was open.

Both fronts answer such an id with "failed; it may have run".

Not mended: the other process of an upgrade does not know the ids.

--- a/src/main/java/calicostream/core/Gateway.java
+++ b/src/main/java/calicostream/core/Gateway.java
@@ -109,6 +109,14 @@
         requests.abandon(handle);
     }
 
+    /**
+     * Whether a request with this id may have run and must not run again, and it failed or its
+     * client left. A server must not accept the id another time.
+     */
+    public boolean mayHaveRunBefore(String requestId) {
+        return requests.mayHaveRunBefore(requestId);
+    }
+
     /** Counts a request that a limit of this front end rejected before it was accepted. */
     public void recordRejection(int queryClass) {
         requests.metrics().recordRequestEnd(queryClass, RequestOutcome.REJECTED);
--- a/src/main/java/calicostream/core/RequestLifecycle.java
+++ b/src/main/java/calicostream/core/RequestLifecycle.java
@@ -23,6 +23,7 @@
     private final RouterDriver router;
     private final RequestListener listener;
     private final RequestMetrics metrics;
+    private final UnrepeatableRequestIds unrepeatableIds = new UnrepeatableRequestIds();
     private final KeyedRequestQueue<Request> keyQueue;
     private final SlotTable<Request> requests = new SlotTable<>();
     private final Deadlines.Callback deadlineCallback = this::onDeadlinePassed;
@@ -79,6 +80,11 @@
         return requests.get(handle);
     }
 
+    /** See {@link Gateway#mayHaveRunBefore}. */
+    boolean mayHaveRunBefore(String requestId) {
+        return unrepeatableIds.contains(requestId, clock.now());
+    }
+
     // Acceptance
 
     /** Accepts a request; see {@link Gateway#accept}. */
@@ -263,6 +269,9 @@
                 request.attemptCount(),
                 clock.now() - request.acceptedAt());
         requests.remove(request.handle());
+        if (isUnserved(outcome) && mustNotRunAgain(request)) {
+            unrepeatableIds.add(request.id(), clock.now());
+        }
         if (request.activeAttempt() != null) {
             attempts.abort(request.activeAttempt(), AttemptOutcome.CANCELLED);
         } else {
@@ -270,6 +279,16 @@
         }
     }
 
+    private static boolean isUnserved(RequestOutcome outcome) {
+        return outcome == RequestOutcome.ABANDONED || outcome == RequestOutcome.FAILED;
+    }
+
+    /** An engine that a request is bound to keeps its state, and with it what may run there. */
+    private static boolean mustNotRunAgain(Request request) {
+        boolean mayHaveRun = request.mayHaveRun() || request.activeAttempt() != null;
+        return mayHaveRun && request.stickyEngine() == 0 && !request.isIdempotent();
+    }
+
     /** Removes an answered request from its key queue once no attempt of it is active. */
     void releaseKey(Request request) {
         if (request.isOrderedByKey()
--- a/src/main/java/calicostream/flight/front/RequestDispatcher.java
+++ b/src/main/java/calicostream/flight/front/RequestDispatcher.java
@@ -17,6 +17,7 @@
 import calicostream.flight.wire.EngineResult;
 import calicostream.flight.wire.FlightWire;
 import calicostream.net.SelectorLoop;
+import calicostream.routing.Idempotency;
 import calicostream.routing.QueryClass;
 import calicostream.routing.SettingsParser;
 import calicostream.sql.TableGroupScanner;
@@ -165,6 +166,10 @@
             reply.failed(FailureReason.DEADLINE);
             return new Submitted(0, 0);
         }
+        if (mayHaveRunBefore(call.caller.requestId, queryClass, pinned)) {
+            reply.failed(FailureReason.ENGINE);
+            return new Submitted(0, 0);
+        }
         Submitted out =
                 submit(
                         headers(call),
@@ -179,6 +184,14 @@
         return out;
     }
 
+    /** See {@link Gateway#mayHaveRunBefore}; a name may serve for several queries. */
+    private boolean mayHaveRunBefore(String named, int queryClass, long pinned) {
+        return named != null
+                && pinned == 0
+                && spec(queryClass).idempotency() != Idempotency.IDEMPOTENT
+                && gateway.mayHaveRunBefore(named);
+    }
+
     /** A request that outlives the call it came from. */
     Submitted submit(
             Metadata headers,
--- a/src/main/java/calicostream/platform/JsonRpcMessageHandler.java
+++ b/src/main/java/calicostream/platform/JsonRpcMessageHandler.java
@@ -93,6 +93,10 @@
             reject(client, idText, JsonRpc.INVALID_PARAMS, "the params can't be used");
             return;
         }
+        if (server.mayHaveRunBefore(message.requestId)) {
+            reject(client, Long.toString(id), JsonRpc.FAILED, "failed; it may have run before");
+            return;
+        }
         int queryClass = classNames.indexOf(message.method);
         long microsUntilShutdown = server.microsUntilShutdown();
         if (client.openRequestCount() >= MAX_OPEN_REQUESTS
--- a/src/main/java/calicostream/platform/JsonRpcServer.java
+++ b/src/main/java/calicostream/platform/JsonRpcServer.java
@@ -168,6 +168,11 @@
         return openRequestIds.contains(requestId);
     }
 
+    /** See {@link Gateway#mayHaveRunBefore}. */
+    boolean mayHaveRunBefore(String requestId) {
+        return gateway.mayHaveRunBefore(requestId);
+    }
+
     /** Whether the open request with this tag has the request id. */
     boolean hasRequestId(long tag, String requestId) {
         PendingRequest request = pendingRequests.get(tag);
--- a/src/test/java/calicostream/wire/FakeRespEngine.java
+++ b/src/test/java/calicostream/wire/FakeRespEngine.java
@@ -71,10 +71,19 @@
      * its own.
      */
     public String command() throws IOException {
-        Command next = next((int) ServerProgram.PATIENCE_MS);
-        if (next == null) {
+        String command = poll(ServerProgram.PATIENCE_MS);
+        if (command == null) {
             throw new IOException("no command came");
         }
+        return command;
+    }
+
+    /** The next command, or null if none comes within this time. */
+    public String poll(long millis) throws IOException {
+        Command next = next((int) millis);
+        if (next == null) {
+            return null;
+        }
         last = next.from;
         String[] words = next.text.split("\\|", 3);
         if (words[0].equals("REQ")) {
