A commit under a class that does not exist no longer leaves its transaction open for ever

Cause: TransactionHandler took the transaction for the commit before it looked the class up, and submitted under -1.

Change: the class is looked up first; an unknown one is INVALID_ARGUMENT, and the transaction stays as it was.

--- a/src/main/java/calicostream/flight/front/TransactionHandler.java
+++ b/src/main/java/calicostream/flight/front/TransactionHandler.java
@@ -120,10 +120,6 @@
             String type,
             Message body,
             Consumer<EngineResult.Acted> then) {
-        int queryClass =
-                purpose == Purpose.COMMIT
-                        ? desk.classOf(call, null, desk.config.updateClass())
-                        : desk.metadataClass();
         ResponseCallback answer =
                 new ResponseCallback.To<>(call) {
                     @Override
@@ -139,13 +135,20 @@
                 };
         desk.submit(
                 call,
-                queryClass,
+                classFor(call, purpose),
                 "",
                 new EngineOperation.Act(type, FlightWire.packed(body)),
                 txn.engine,
                 within(txn, false, answer));
     }
 
+    /** The class under which an action runs; negative where the call names one that is unknown. */
+    private int classFor(ServerCall<?> call, Purpose purpose) {
+        return purpose == Purpose.COMMIT
+                ? desk.classOf(call, null, desk.config.updateClass())
+                : desk.metadataClass();
+    }
+
     // ---- Actions
     // --------------------------------------------------------------------------------------
     void begin(ServerCall<Flight.Result> call) {
@@ -227,6 +230,9 @@
             throw CommandDecoder.invalid("commit or rollback?");
         }
         Purpose purpose = commit ? Purpose.COMMIT : Purpose.ROLLBACK;
+        if (classFor(call, purpose) < 0) {
+            throw CommandDecoder.invalid("no class '" + call.caller.queryClass + "'");
+        }
         Transaction<ByteString> txn = use(call, request.getTransactionId(), purpose);
         if (txn == null) {
             return;
