A platform client hears that its result is too long, and its connection goes on

Cause: a response longer than the output buffer never fits; it was queued, and reading paused until it was written.

Change: such a response is an error that names the result's length.

--- a/src/main/java/calicostream/platform/JsonRpcClientConnection.java
+++ b/src/main/java/calicostream/platform/JsonRpcClientConnection.java
@@ -19,7 +19,9 @@
  */
 final class JsonRpcClientConnection implements Connection.Handler {
     private static final int MAX_INPUT_BYTES = 128 * 1024;
-    private static final int MAX_OUTPUT_BYTES = 128 * 1024;
+
+    /** The longest response. */
+    static final int MAX_OUTPUT_BYTES = 128 * 1024;
 
     /** The most lines processed before other connections are served. */
     private static final int MAX_LINES_PER_ITERATION = 8;
--- a/src/main/java/calicostream/platform/JsonRpcServer.java
+++ b/src/main/java/calicostream/platform/JsonRpcServer.java
@@ -222,7 +222,18 @@
         if (request != null) {
             request.client().markServed();
         }
-        respond(tag, id -> JsonRpc.result(id, resultEncoder.apply(result)));
+        respond(tag, id -> encode(id, resultEncoder.apply(result)));
+    }
+
+    /** The client could not be sent a longer response, nor any after it. */
+    private static byte[] encode(long id, byte[] rows) {
+        byte[] response = JsonRpc.result(id, rows);
+        return response.length <= JsonRpcClientConnection.MAX_OUTPUT_BYTES
+                ? response
+                : JsonRpc.error(
+                        Long.toString(id),
+                        JsonRpc.FAILED,
+                        "the result is too long: " + rows.length + " bytes; it would be again");
     }
 
     @Override
