Tests that show a new engine process taken for the old one at its address

Seen: an engine's process ends while no call is open, and a new one comes up at its address before the list tells.

Cause: FlightEngineClient.lost is told by a call that ends with RESET and by the list alone; gRPC connects again by itself.

No product code.

--- a/src/test/java/calicostream/flight/suite/FakeFlightEngine.java
+++ b/src/test/java/calicostream/flight/suite/FakeFlightEngine.java
@@ -79,10 +79,15 @@
     volatile Runnable onDrain = () -> {};
 
     FakeFlightEngine(Script script) throws IOException {
+        this(script, 0);
+    }
+
+    /** A process at this port; its handles have the names of those of any other at the port. */
+    FakeFlightEngine(Script script, int port) throws IOException {
         this.script = script;
         server =
                 NettyServerBuilder.forAddress(
-                                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+                                new InetSocketAddress(InetAddress.getLoopbackAddress(), port))
                         .executor(THREADS)
                         .bossEventLoopGroup(NETTY)
                         .workerEventLoopGroup(NETTY)
--- /dev/null
+++ b/src/test/java/calicostream/flight/suite/ReplacedProcessTest.java
@@ -0,0 +1,77 @@
+// SPDX-License-Identifier: Apache-2.0
+package calicostream.flight.suite;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.file.Path;
+import org.apache.arrow.flight.sql.FlightSqlClient;
+import org.apache.arrow.vector.VectorSchemaRoot;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A new engine process at the address of one that has gone, before the list tells of it. */
+class ReplacedProcessTest {
+    /** Time for the front end to see that the connection has ended. */
+    private static final long END_OF_CONNECTION_MILLIS = 300;
+
+    /** Longer than a connection is tried again after a failure. */
+    private static final long RECONNECT_MILLIS = 1500;
+
+    @TempDir Path folder;
+    private FlightHarness rig;
+
+    @AfterEach
+    void end() throws Exception {
+        rig.close();
+    }
+
+    private FakeFlightEngine replaceEngine(Script script) throws Exception {
+        int port = rig.engines.get(0).address().getPort();
+        rig.engines.get(0).die();
+        Thread.sleep(END_OF_CONNECTION_MILLIS);
+        FakeFlightEngine fresh = new FakeFlightEngine(script, port);
+        rig.engines.set(0, fresh);
+        Thread.sleep(RECONNECT_MILLIS);
+        return fresh;
+    }
+
+    /** One client's update ran in the transaction that another had at the new process. */
+    @Tag("known-red")
+    @Test
+    void transactionOfTheOldProcessIsNotUsedAtTheNewOne() throws Exception {
+        Script script = new Script();
+        rig = new FlightHarness(script, 1, folder);
+        FlightSqlClient client = rig.client();
+        FlightSqlClient.Transaction old = client.beginTransaction(FlightOperations.LOOKUP);
+        FakeFlightEngine fresh = replaceEngine(script);
+        rig.client().beginTransaction(FlightOperations.LOOKUP);
+        assertEquals(
+                "dead",
+                FlightOperations.outcome(
+                        (c, arm) ->
+                                Long.toString(
+                                        c.executeUpdate("insert", old, FlightOperations.LOAD)),
+                        client,
+                        () -> {}));
+        assertEquals(0, fresh.count("update"));
+    }
+
+    /** One client's insert ran as another's delete, whose handle has the same name. */
+    @Tag("known-red")
+    @Test
+    void handleOfTheOldProcessIsNotUsedAtTheNewOne() throws Exception {
+        Script script = new Script();
+        rig = new FlightHarness(script, 1, folder);
+        try (FlightSqlClient.PreparedStatement insert =
+                        rig.client().prepare("insert ?", FlightOperations.LOOKUP);
+                VectorSchemaRoot row = Data.bound(1)) {
+            FakeFlightEngine fresh = replaceEngine(script);
+            rig.client().prepare("delete ?", FlightOperations.LOOKUP);
+            insert.setParameters(row);
+            assertEquals(1, insert.executeUpdate(FlightOperations.LOAD));
+            assertEquals(2, fresh.count("prepared"), "a handle of its own");
+        }
+    }
+}
